--- /dev/null
+++ b/src/bin/cassialock-standin.rs
@@ -0,0 +1,76 @@
+//! Stand-ins as processes of their own, for tests.
+
+use std::process::ExitCode;
+
+use cassialock::standin;
+use cassialock::standin::engine;
+use gumdrop::Options;
+
+/// Flags of `cassialock-standin`.
+#[derive(Debug, Options)]
+struct Flags {
+    /// Prints the help text.
+    help: bool,
+    /// What to run.
+    #[options(free, help = "platform, engine, service or proxy")]
+    kind: String,
+    /// Address to listen on.
+    #[options(
+        help = "IP number and port to listen on",
+        meta = "ADDRESS",
+        default = "127.0.0.1:0"
+    )]
+    listen: String,
+    /// Address of the proxy's control port.
+    #[options(
+        help = "control port of the proxy",
+        meta = "ADDRESS",
+        default = "127.0.0.1:0"
+    )]
+    control: String,
+    /// Target of the proxy.
+    #[options(help = "address that the proxy passes on to", meta = "ADDRESS")]
+    target: Option<String>,
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let flags = Flags::parse_args_default_or_exit();
+    match run(&flags).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("cassialock-standin: {e}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+async fn run(flags: &Flags) -> std::io::Result<()> {
+    let running = match flags.kind.as_str() {
+        "platform" => standin::platform::start(&flags.listen).await?,
+        "service" => standin::service::start(&flags.listen).await?,
+        "engine" => {
+            let options = engine::Options {
+                exits: true,
+                ..engine::Options::default()
+            };
+            engine::start(&flags.listen, options).await?
+        }
+        "proxy" => {
+            let target = flags
+                .target
+                .clone()
+                .ok_or_else(|| std::io::Error::other("--target must be given for a proxy"))?;
+            let proxy = standin::proxy::start(&flags.listen, &flags.control, &target).await?;
+            println!("control {}", proxy.control.address);
+            proxy.proxy
+        }
+        other => {
+            let text = format!("unknown stand-in {other:?}; see --help");
+            return Err(std::io::Error::other(text));
+        }
+    };
+    println!("listening {}", running.address);
+    running.join().await;
+    Ok(())
+}
--- /dev/null
+++ b/src/core/call/request.rs
@@ -0,0 +1,240 @@
+//! Requests in the shape of the OpenAI API.
+
+use std::fmt;
+
+use serde_json::Map;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::core::call::Progress;
+
+/// Tokens of an answer when the request names no limit.
+const DEFAULT_TOKENS: u32 = 256;
+
+/// Most tokens that a request may ask for.
+const MAX_TOKENS: u64 = 32_768;
+
+/// Which of the two completion calls a request makes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Shape {
+    /// `/v1/chat/completions`.
+    Chat,
+    /// `/v1/completions`.
+    Text,
+}
+
+impl Shape {
+    /// Returns the shape served at `path`.
+    pub fn of_path(path: &str) -> Option<Self> {
+        match path {
+            "/v1/chat/completions" => Some(Shape::Chat),
+            "/v1/completions" => Some(Shape::Text),
+            _ => None,
+        }
+    }
+
+    /// Returns the path that the shape is served at.
+    pub const fn path(self) -> &'static str {
+        match self {
+            Shape::Chat => "/v1/chat/completions",
+            Shape::Text => "/v1/completions",
+        }
+    }
+
+    /// Returns the value of `object` in a chunk of this shape.
+    pub const fn chunk_object(self) -> &'static str {
+        match self {
+            Shape::Chat => "chat.completion.chunk",
+            Shape::Text => "text_completion",
+        }
+    }
+}
+
+/// A field of a request that cannot be used.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Invalid {
+    /// Name of the field; empty for the whole body.
+    pub field: &'static str,
+    /// What is wrong, in one clause.
+    pub problem: String,
+}
+
+impl Invalid {
+    fn new(field: &'static str, problem: impl Into<String>) -> Self {
+        Self {
+            field,
+            problem: problem.into(),
+        }
+    }
+}
+
+impl fmt::Display for Invalid {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.field.is_empty() {
+            f.write_str(&self.problem)
+        } else {
+            write!(f, "{}: {}", self.field, self.problem)
+        }
+    }
+}
+
+/// A checked completion request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Completion {
+    /// Which call it makes.
+    pub shape: Shape,
+    /// The service it asks for.
+    pub model: String,
+    /// Whether the caller wants a stream.
+    pub stream: bool,
+    /// Most tokens of the answer.
+    pub max_tokens: u32,
+    /// All text of the prompt, joined by spaces.
+    pub prompt: String,
+    /// Text that an assistant message leaves to be continued.
+    pub continued: String,
+    body: Map<String, Value>,
+}
+
+impl Completion {
+    /// Parses and checks a body.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first field that is missing or cannot be used.
+    pub fn parse(shape: Shape, body: &[u8]) -> Result<Self, Invalid> {
+        let value: Value =
+            serde_json::from_slice(body).map_err(|e| Invalid::new("", e.to_string()))?;
+        let Value::Object(body) = value else {
+            return Err(Invalid::new("", "the body must be a JSON object"));
+        };
+        let model = match body.get("model") {
+            Some(Value::String(model)) if !model.is_empty() => model.clone(),
+            Some(_) => return Err(Invalid::new("model", "must be a non-empty string")),
+            None => return Err(Invalid::new("model", "is missing")),
+        };
+        let stream = match body.get("stream") {
+            None | Some(Value::Null) => false,
+            Some(Value::Bool(stream)) => *stream,
+            Some(_) => return Err(Invalid::new("stream", "must be true or false")),
+        };
+        let max_tokens = parse_max_tokens(&body)?;
+        let (prompt, continued) = match shape {
+            Shape::Chat => parse_messages(&body)?,
+            Shape::Text => (parse_prompt(&body)?, String::new()),
+        };
+        Ok(Self {
+            shape,
+            model,
+            stream,
+            max_tokens,
+            prompt,
+            continued,
+            body,
+        })
+    }
+
+    /// Returns the number of tokens of the prompt, as estimated from its words.
+    pub fn prompt_tokens(&self) -> u32 {
+        let words =
+            self.prompt.split_whitespace().count() + self.continued.split_whitespace().count();
+        words as u32
+    }
+
+    /// Returns the body to send upstream, which goes on after `progress`.
+    pub fn upstream_body(&self, progress: &Progress) -> Vec<u8> {
+        let mut body = self.body.clone();
+        body.insert("stream".into(), Value::Bool(true));
+        body.insert("stream_options".into(), json!({"include_usage": true}));
+        body.remove("max_completion_tokens");
+        let left = u64::from(self.max_tokens).saturating_sub(progress.tokens());
+        body.insert("max_tokens".into(), left.into());
+        if !progress.text.is_empty() {
+            match self.shape {
+                Shape::Chat => continue_messages(&mut body, &progress.text),
+                Shape::Text => continue_prompt(&mut body, &progress.text),
+            }
+        }
+        Value::Object(body).to_string().into_bytes()
+    }
+}
+
+fn parse_max_tokens(body: &Map<String, Value>) -> Result<u32, Invalid> {
+    let field = body
+        .get("max_completion_tokens")
+        .or_else(|| body.get("max_tokens"));
+    match field {
+        None | Some(Value::Null) => Ok(DEFAULT_TOKENS),
+        Some(value) => match value.as_u64() {
+            Some(count @ 1..=MAX_TOKENS) => Ok(count as u32),
+            _ => Err(Invalid::new(
+                "max_tokens",
+                format!("must be from 1 to {MAX_TOKENS}"),
+            )),
+        },
+    }
+}
+
+/// Returns the joined text of all messages and the text left to be continued.
+fn parse_messages(body: &Map<String, Value>) -> Result<(String, String), Invalid> {
+    let Some(messages) = body.get("messages") else {
+        return Err(Invalid::new("messages", "is missing"));
+    };
+    let Some(messages) = messages.as_array().filter(|list| !list.is_empty()) else {
+        return Err(Invalid::new("messages", "must be a non-empty array"));
+    };
+    let mut texts = Vec::with_capacity(messages.len());
+    for message in messages {
+        let content = message.get("content").and_then(Value::as_str);
+        let Some(content) = content else {
+            return Err(Invalid::new("messages", "each needs a string `content`"));
+        };
+        if !message.get("role").is_some_and(Value::is_string) {
+            return Err(Invalid::new("messages", "each needs a string `role`"));
+        }
+        texts.push(content);
+    }
+    let continued = if is_continued(body) {
+        texts.pop().unwrap_or_default()
+    } else {
+        ""
+    };
+    Ok((texts.join(" "), continued.to_string()))
+}
+
+fn is_continued(body: &Map<String, Value>) -> bool {
+    body.get("continue_final_message") == Some(&Value::Bool(true))
+}
+
+fn parse_prompt(body: &Map<String, Value>) -> Result<String, Invalid> {
+    match body.get("prompt") {
+        Some(Value::String(prompt)) if !prompt.is_empty() => Ok(prompt.clone()),
+        Some(_) => Err(Invalid::new("prompt", "must be a non-empty string")),
+        None => Err(Invalid::new("prompt", "is missing")),
+    }
+}
+
+fn continue_messages(body: &mut Map<String, Value>, text: &str) {
+    let was_continued = is_continued(body);
+    let Some(Value::Array(messages)) = body.get_mut("messages") else {
+        return;
+    };
+    let last = messages
+        .last_mut()
+        .and_then(|message| message.get_mut("content"));
+    match last {
+        Some(Value::String(content)) if was_continued => content.push_str(text),
+        _ => messages.push(json!({"role": "assistant", "content": text})),
+    }
+    body.insert("continue_final_message".into(), Value::Bool(true));
+    body.insert("add_generation_prompt".into(), Value::Bool(false));
+}
+
+fn continue_prompt(body: &mut Map<String, Value>, text: &str) {
+    if let Some(Value::String(prompt)) = body.get_mut("prompt") {
+        if !prompt.ends_with(char::is_whitespace) {
+            prompt.push(' ');
+        }
+        prompt.push_str(text);
+    }
+}
--- /dev/null
+++ b/src/core/retry/crash.rs
@@ -0,0 +1,102 @@
+//! Requests that take down the backend servers that run them.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::core::Name;
+use crate::core::time::Time;
+
+/// Servers on which a request may be tried in the whole system.
+pub const MAX_SERVERS: usize = 2;
+
+/// Time for which a crash is remembered.
+pub const RETENTION: Duration = Duration::from_secs(600);
+
+/// Fingerprints remembered at the same time.
+const MAX_ROWS: usize = 1_024;
+
+/// Identifies a request by its workspace, service and body, across resends.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Fingerprint(pub u64);
+
+impl Fingerprint {
+    /// Computes the fingerprint of a request.
+    pub fn new(workspace: &str, service: &str, body: &[u8]) -> Self {
+        let mut state = xxhash_rust::xxh3::Xxh3::new();
+        for part in [workspace.as_bytes(), service.as_bytes(), body] {
+            state.update(&(part.len() as u64).to_le_bytes());
+            state.update(part);
+        }
+        Self(state.digest())
+    }
+}
+
+/// One server that went down while it ran a request.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Crash {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// The server.
+    pub server: Name,
+    /// When the crash was seen.
+    pub at: Time,
+}
+
+/// The crashes known at this node.
+///
+/// # Invariants
+///
+/// `rows` is sorted by fingerprint and server, without repeats.
+#[derive(Clone, Debug, Default)]
+pub struct Crashes {
+    rows: Vec<Crash>,
+}
+
+impl Crashes {
+    /// Creates an empty record.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Records a crash and returns whether it was new.
+    pub fn record(&mut self, crash: Crash) -> bool {
+        self.expire(crash.at);
+        let key = |row: &Crash| (row.fingerprint, row.server.clone());
+        match self.rows.binary_search_by_key(&key(&crash), key) {
+            Ok(_) => false,
+            Err(at) => {
+                self.rows.insert(at, crash);
+                true
+            }
+        }
+    }
+
+    /// Returns the servers that went down while they ran the request.
+    pub fn servers(&self, fingerprint: Fingerprint) -> Vec<Name> {
+        let from = self
+            .rows
+            .partition_point(|row| row.fingerprint < fingerprint);
+        self.rows[from..]
+            .iter()
+            .take_while(|row| row.fingerprint == fingerprint)
+            .map(|row| row.server.clone())
+            .collect()
+    }
+
+    /// Returns whether the request must not be tried on another server.
+    pub fn is_blocked(&self, fingerprint: Fingerprint) -> bool {
+        self.servers(fingerprint).len() >= MAX_SERVERS
+    }
+
+    fn expire(&mut self, now: Time) {
+        self.rows.retain(|row| now.since(row.at) < RETENTION);
+        if self.rows.len() >= MAX_ROWS {
+            let oldest = (0..self.rows.len()).min_by_key(|&at| self.rows[at].at);
+            if let Some(at) = oldest {
+                self.rows.remove(at);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/core/retry/mod.rs
@@ -0,0 +1,186 @@
+//! Whether and when a failed attempt is tried again.
+
+use std::time::Duration;
+
+use crate::core::Name;
+use crate::core::time::Time;
+use crate::core::verdict::Verdict;
+
+pub mod crash;
+
+/// Retries allowed for each first attempt.
+const BUDGET_RATIO: f64 = 0.1;
+
+/// Retries that a node may save up.
+const BUDGET_CAP: f64 = 50.0;
+
+/// Attempts for one request, the first included.
+pub const MAX_ATTEMPTS: usize = 6;
+
+/// Why an attempt at a backend server failed.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Cause {
+    /// No connection could be opened.
+    Connect,
+    /// The server said that it did not take the request.
+    Busy,
+    /// The server answered with an error.
+    Failed,
+    /// The connection ended before the answer was whole.
+    Cut,
+    /// Nothing came for longer than the limit.
+    Silent,
+    /// The answer belongs to another request.
+    Crossed,
+    /// The answer has a gap or a repeat.
+    OutOfOrder,
+    /// The answer cannot be understood.
+    Garbled,
+    /// The server is leaving and the stream moves.
+    Leaving,
+}
+
+impl Cause {
+    /// Returns the label used in counters.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Cause::Connect => "connect",
+            Cause::Busy => "busy",
+            Cause::Failed => "failed",
+            Cause::Cut => "cut",
+            Cause::Silent => "silent",
+            Cause::Crossed => "crossed",
+            Cause::OutOfOrder => "out_of_order",
+            Cause::Garbled => "garbled",
+            Cause::Leaving => "leaving",
+        }
+    }
+
+    /// Returns whether the request may have run when an attempt fails like this.
+    pub const fn verdict(self) -> Verdict {
+        match self {
+            Cause::Connect | Cause::Busy => Verdict::NotRun,
+            _ => Verdict::MayHaveRun,
+        }
+    }
+
+    /// Returns whether the failure counts against the version of the server.
+    pub const fn blames_version(self) -> bool {
+        matches!(
+            self,
+            Cause::Failed | Cause::Garbled | Cause::Crossed | Cause::OutOfOrder
+        )
+    }
+
+    /// Returns whether a retry for this cause is free of the budget.
+    ///
+    /// A planned departure is not a failure, and moving its streams must not
+    /// depend on how many other requests fail at that moment.
+    const fn is_planned(self) -> bool {
+        matches!(self, Cause::Leaving)
+    }
+}
+
+/// A failed attempt.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Attempt {
+    /// The server that was tried.
+    pub server: Name,
+    /// Why it failed.
+    pub cause: Cause,
+}
+
+/// What to do after a failed attempt.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Decision {
+    /// Try again at another server.
+    Again,
+    /// Give up: the request or its route does not allow a repeat.
+    NotRepeatable,
+    /// Give up: the deadline leaves no time.
+    Deadline,
+    /// Give up: too many attempts.
+    Attempts,
+    /// Give up: the retry budget is spent.
+    Budget,
+}
+
+/// What is known when a retry is decided.
+#[derive(Clone, Copy, Debug)]
+pub struct Situation {
+    /// Why the last attempt failed.
+    pub cause: Cause,
+    /// Whether a repeat does no harm.
+    pub repeatable: bool,
+    /// Attempts made so far.
+    pub attempts: usize,
+    /// When the caller stops waiting.
+    pub deadline: Time,
+    /// The time now.
+    pub now: Time,
+}
+
+/// Limits retries to a part of the load.
+///
+/// Each first attempt earns a tenth of a retry, up to a cap, so a node whose
+/// servers all fail sends at most a tenth more than its callers do.
+#[derive(Clone, Debug)]
+pub struct Budget {
+    level: f64,
+}
+
+impl Default for Budget {
+    fn default() -> Self {
+        Self { level: BUDGET_CAP }
+    }
+}
+
+impl Budget {
+    /// Creates a full budget.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Counts a first attempt.
+    pub fn earn(&mut self) {
+        self.level = (self.level + BUDGET_RATIO).min(BUDGET_CAP);
+    }
+
+    fn spend(&mut self) -> bool {
+        if self.level < 1.0 {
+            return false;
+        }
+        self.level -= 1.0;
+        true
+    }
+
+    /// Decides whether a failed attempt is tried again, and pays for it.
+    pub fn decide(&mut self, situation: &Situation) -> Decision {
+        let may_repeat = situation.repeatable || situation.cause.verdict() == Verdict::NotRun;
+        if !may_repeat {
+            return Decision::NotRepeatable;
+        }
+        if situation.now >= situation.deadline {
+            return Decision::Deadline;
+        }
+        if situation.attempts >= MAX_ATTEMPTS {
+            return Decision::Attempts;
+        }
+        if !situation.cause.is_planned() && !self.spend() {
+            return Decision::Budget;
+        }
+        Decision::Again
+    }
+}
+
+/// Shortest wait before an attempt that follows a refused one.
+const BACKOFF_BASE: Duration = Duration::from_millis(10);
+
+/// Returns how long to wait before the next attempt.
+///
+/// `draw` is a random number; the wait lies between half and all of a bound
+/// that doubles with each attempt.
+pub fn backoff(attempts: usize, draw: u64) -> Duration {
+    let bound = BACKOFF_BASE * (1 << attempts.min(5)) as u32;
+    bound / 2 + bound.mul_f64((draw % 1_024) as f64 / 2_048.0)
+}
--- /dev/null
+++ b/src/core/route/baseline.rs
@@ -0,0 +1,76 @@
+//! Baseline policies, kept for comparison.
+
+use crate::core::route::Candidate;
+use crate::core::route::Policy;
+use crate::core::route::Request;
+
+/// Takes each candidate in turn.
+#[derive(Debug, Default)]
+pub struct RoundRobin {
+    next: usize,
+}
+
+impl RoundRobin {
+    /// Creates the policy.
+    pub fn new() -> Self {
+        Self::default()
+    }
+}
+
+impl Policy for RoundRobin {
+    fn choose(&mut self, _: &Request, candidates: &[Candidate], _: u64) -> Option<usize> {
+        if candidates.is_empty() {
+            return None;
+        }
+        self.next = self.next.wrapping_add(1);
+        Some(self.next % candidates.len())
+    }
+}
+
+/// Takes the candidate with the fewest requests for each slot.
+#[derive(Debug, Default)]
+pub struct LeastLoaded;
+
+impl LeastLoaded {
+    /// Creates the policy.
+    pub fn new() -> Self {
+        Self
+    }
+}
+
+impl Policy for LeastLoaded {
+    fn choose(&mut self, _: &Request, candidates: &[Candidate], _: u64) -> Option<usize> {
+        (0..candidates.len()).min_by(|&a, &b| load(&candidates[a]).total_cmp(&load(&candidates[b])))
+    }
+}
+
+/// Takes the less loaded of two candidates drawn at random.
+#[derive(Debug, Default)]
+pub struct TwoChoices;
+
+impl TwoChoices {
+    /// Creates the policy.
+    pub fn new() -> Self {
+        Self
+    }
+}
+
+impl Policy for TwoChoices {
+    fn choose(&mut self, _: &Request, candidates: &[Candidate], draw: u64) -> Option<usize> {
+        let count = candidates.len() as u64;
+        if count == 0 {
+            return None;
+        }
+        let a = (draw % count) as usize;
+        let b = ((draw >> 32) % count) as usize;
+        if load(&candidates[b]) < load(&candidates[a]) {
+            Some(b)
+        } else {
+            Some(a)
+        }
+    }
+}
+
+fn load(candidate: &Candidate) -> f64 {
+    candidate.inflight / f64::from(candidate.slots.max(1))
+}
--- /dev/null
+++ b/src/core/route/servers.rs
@@ -0,0 +1,284 @@
+//! What a node knows about backend servers.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::core::Name;
+use crate::core::route::Candidate;
+use crate::core::route::Request;
+use crate::core::route::prefix;
+use crate::core::route::subset;
+use crate::core::table::Table;
+use crate::core::time::Time;
+
+/// Time for which a server that refused a connection gets no new work.
+const REST: Duration = Duration::from_millis(500);
+
+/// Age at which a load report has lost half of its weight.
+const REPORT_HALF_LIFE_MS: f64 = 500.0;
+
+/// Requests for each slot that may be at a server before work waits at the node.
+const SLOT_FACTOR: f64 = 1.25;
+
+/// Smoothing factor of the averages kept for each server.
+const SMOOTHING: f64 = 0.1;
+
+/// Whether a VM can be reclaimed.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Class {
+    /// The platform may take the VM back on short notice.
+    Reclaimable,
+    /// The VM stays until it is deleted.
+    OnDemand,
+}
+
+/// A VM in the platform's list.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Vm {
+    /// Name of the VM.
+    pub id: Name,
+    /// The service that runs on it.
+    pub service: Name,
+    /// The version of the service.
+    pub version: Name,
+    /// IP number and port.
+    pub address: Name,
+    /// Failure domain.
+    pub domain: Name,
+    /// Whether it can be reclaimed.
+    pub class: Class,
+    /// Whether it is leaving.
+    pub leaving: bool,
+}
+
+/// A load report published by a backend server.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Load {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+}
+
+/// One backend server as seen from this node.
+#[derive(Clone, Debug)]
+pub struct Server {
+    /// The VM as listed.
+    pub vm: Vm,
+    /// Requests of this node at the server now.
+    pub own: u32,
+    /// Whether the server gets no new work for good.
+    pub leaving: bool,
+    rests_until: Time,
+    load: Load,
+    load_at: Time,
+    own_at_load: u32,
+    first_ms: f64,
+    index: prefix::Index,
+}
+
+impl Server {
+    fn new(vm: Vm) -> Self {
+        Self {
+            leaving: vm.leaving,
+            vm,
+            own: 0,
+            rests_until: Time::default(),
+            load: Load::default(),
+            load_at: Time::default(),
+            own_at_load: 0,
+            first_ms: 0.0,
+            index: prefix::Index::new(),
+        }
+    }
+
+    /// Estimates the requests at the server now, from all nodes.
+    ///
+    /// The requests of this node are counted exactly. Those of others come from
+    /// the last report, whose weight halves with age.
+    pub fn inflight(&self, now: Time) -> f64 {
+        let reported = self.load.running + self.load.waiting;
+        let others = f64::from(reported.saturating_sub(self.own_at_load));
+        let age_ms = now.since(self.load_at).as_secs_f64() * 1_000.0;
+        let weight = 0.5_f64.powf(age_ms / REPORT_HALF_LIFE_MS);
+        f64::from(self.own) + others * weight
+    }
+
+    fn is_usable(&self, now: Time) -> bool {
+        !self.leaving && self.rests_until <= now
+    }
+}
+
+/// The backend servers of all services, as seen from one node.
+#[derive(Debug)]
+pub struct Servers {
+    node: Name,
+    domain: Name,
+    rows: Table<Server>,
+}
+
+impl Servers {
+    /// Creates an empty view for the node `node` in failure domain `domain`.
+    pub fn new(node: Name, domain: Name) -> Self {
+        Self {
+            node,
+            domain,
+            rows: Table::new(),
+        }
+    }
+
+    /// Takes over the platform's list.
+    ///
+    /// The list lags: a server that is known to leave stays so even if the list
+    /// does not say it yet. A server that the list no longer has is dropped
+    /// when no request of this node is at it.
+    pub fn update(&mut self, list: &[Vm]) {
+        for vm in list {
+            match self.rows.get_mut(&vm.id) {
+                Some(server) => {
+                    server.leaving |= vm.leaving;
+                    server.vm = vm.clone();
+                }
+                None => {
+                    self.rows.insert(vm.id.clone(), Server::new(vm.clone()));
+                }
+            }
+        }
+        self.rows.retain(|id, server| {
+            let listed = list.iter().any(|vm| vm.id == *id);
+            if !listed {
+                server.leaving = true;
+            }
+            listed || server.own > 0
+        });
+    }
+
+    /// Marks a server as leaving; it gets no new work from now on.
+    pub fn set_leaving(&mut self, id: &str) -> bool {
+        match self.rows.get_mut(id) {
+            Some(server) => !std::mem::replace(&mut server.leaving, true),
+            None => false,
+        }
+    }
+
+    /// Keeps new work from a server for a short time after it refused some.
+    pub fn set_resting(&mut self, id: &str, now: Time) {
+        if let Some(server) = self.rows.get_mut(id) {
+            server.rests_until = now + REST;
+        }
+    }
+
+    /// Records a load report.
+    pub fn set_load(&mut self, id: &str, load: Load, now: Time) {
+        if let Some(server) = self.rows.get_mut(id) {
+            server.load = load;
+            server.load_at = now;
+            server.own_at_load = server.own;
+        }
+    }
+
+    /// Counts a request that is sent to a server.
+    pub fn begin(&mut self, id: &str, blocks: &[u64]) {
+        if let Some(server) = self.rows.get_mut(id) {
+            server.own += 1;
+            server.index.add(blocks);
+        }
+    }
+
+    /// Counts a request that is no longer at a server.
+    pub fn end(&mut self, id: &str) {
+        if let Some(server) = self.rows.get_mut(id) {
+            server.own = server.own.saturating_sub(1);
+        }
+    }
+
+    /// Records the time to the first token of a request.
+    pub fn record_first(&mut self, id: &str, first: Duration) {
+        if let Some(server) = self.rows.get_mut(id) {
+            let ms = first.as_secs_f64() * 1_000.0;
+            server.first_ms += SMOOTHING * (ms - server.first_ms);
+        }
+    }
+
+    /// Gives access to the prefix index of a server.
+    pub fn index_mut(&mut self, id: &str) -> Option<&mut prefix::Index> {
+        self.rows.get_mut(id).map(|server| &mut server.index)
+    }
+
+    /// Returns a server by its name.
+    pub fn get(&self, id: &str) -> Option<&Server> {
+        self.rows.get(id)
+    }
+
+    /// Iterates over all servers.
+    pub fn iter(&self) -> impl Iterator<Item = &Server> {
+        self.rows.iter().map(|(_, server)| server)
+    }
+
+    /// Returns the names of this node's candidates for one version of a service.
+    pub fn subset(&self, service: &str, version: &str) -> Vec<Name> {
+        let items: Vec<subset::Placed> = self
+            .iter()
+            .filter(|server| *server.vm.service == *service && *server.vm.version == *version)
+            .filter(|server| !server.leaving)
+            .map(|server| subset::Placed {
+                id: server.vm.id.clone(),
+                domain: server.vm.domain.clone(),
+            })
+            .collect();
+        if items.len() <= subset::MAX_CANDIDATES {
+            return items.into_iter().map(|item| item.id).collect();
+        }
+        subset::pick(&self.node, &items, subset::MAX_CANDIDATES)
+    }
+
+    /// Returns the candidates for a request, without those in `avoid`.
+    pub fn candidates(&self, filter: &Filter<'_>, request: &Request, now: Time) -> Vec<Candidate> {
+        self.subset(filter.service, filter.version)
+            .iter()
+            .filter(|id| !filter.avoid.contains(id))
+            .filter_map(|id| self.rows.get(id))
+            .filter(|server| server.is_usable(now))
+            .map(|server| Candidate {
+                id: server.vm.id.clone(),
+                inflight: server.inflight(now),
+                slots: filter.slots,
+                cached_tokens: server.index.expected_tokens(&request.blocks),
+                near: server.vm.domain == self.domain,
+                reclaimable: server.vm.class == Class::Reclaimable,
+                first_ms: server.first_ms,
+            })
+            .collect()
+    }
+
+    /// Returns how many more requests the usable servers of a service can take.
+    pub fn room(&self, service: &str, slots: u32, now: Time) -> u32 {
+        let limit = f64::from(slots) * SLOT_FACTOR;
+        self.iter()
+            .filter(|server| *server.vm.service == *service && server.is_usable(now))
+            .map(|server| (limit - server.inflight(now)).max(0.0).floor() as u32)
+            .sum()
+    }
+
+    /// Returns whether a service has a server that may take work.
+    pub fn has_usable(&self, service: &str, now: Time) -> bool {
+        self.iter()
+            .any(|server| *server.vm.service == *service && server.is_usable(now))
+    }
+}
+
+/// Which servers may be candidates.
+#[derive(Clone, Copy, Debug)]
+pub struct Filter<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// The version of the service.
+    pub version: &'a str,
+    /// Requests that one server of the service runs at the same time.
+    pub slots: u32,
+    /// Servers that were tried already.
+    pub avoid: &'a [Name],
+}
--- /dev/null
+++ b/src/core/table.rs
@@ -0,0 +1,161 @@
+//! A map kept as a sorted vector.
+
+use std::fmt;
+use std::marker::PhantomData;
+
+use serde::Deserialize;
+use serde::Deserializer;
+use serde::Serialize;
+use serde::Serializer;
+use serde::de::MapAccess;
+use serde::de::Visitor;
+use serde::ser::SerializeMap;
+
+use crate::core::Name;
+
+/// A map from names to values, kept as a vector sorted by name.
+///
+/// It serializes as a map.
+///
+/// # Invariants
+///
+/// `rows` is sorted by name, and no name stands twice.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Table<T> {
+    rows: Vec<(Name, T)>,
+}
+
+impl<T> Default for Table<T> {
+    fn default() -> Self {
+        Self { rows: Vec::new() }
+    }
+}
+
+impl<T> Table<T> {
+    /// Creates an empty table.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    fn search(&self, name: &str) -> Result<usize, usize> {
+        self.rows.binary_search_by(|row| (*row.0).cmp(name))
+    }
+
+    /// Returns the value stored under `name`.
+    pub fn get(&self, name: &str) -> Option<&T> {
+        self.search(name).ok().map(|at| &self.rows[at].1)
+    }
+
+    /// Returns the value stored under `name`, for change.
+    pub fn get_mut(&mut self, name: &str) -> Option<&mut T> {
+        match self.search(name) {
+            Ok(at) => Some(&mut self.rows[at].1),
+            Err(_) => None,
+        }
+    }
+
+    /// Returns the stored name and value for `name`.
+    pub fn entry(&self, name: &str) -> Option<(&Name, &T)> {
+        let at = self.search(name).ok()?;
+        Some((&self.rows[at].0, &self.rows[at].1))
+    }
+
+    /// Stores `value` under `name` and returns the value it replaced.
+    pub fn insert(&mut self, name: Name, value: T) -> Option<T> {
+        // INVARIANT: the row is placed where the binary search ended.
+        match self.search(&name) {
+            Ok(at) => Some(std::mem::replace(&mut self.rows[at].1, value)),
+            Err(at) => {
+                self.rows.insert(at, (name, value));
+                None
+            }
+        }
+    }
+
+    /// Returns the value under `name`, after storing `make()` if there was none.
+    pub fn get_or_insert_with(&mut self, name: &Name, make: impl FnOnce() -> T) -> &mut T {
+        let at = match self.search(name) {
+            Ok(at) => at,
+            Err(at) => {
+                self.rows.insert(at, (name.clone(), make()));
+                at
+            }
+        };
+        &mut self.rows[at].1
+    }
+
+    /// Removes and returns the value stored under `name`.
+    pub fn remove(&mut self, name: &str) -> Option<T> {
+        let at = self.search(name).ok()?;
+        Some(self.rows.remove(at).1)
+    }
+
+    /// Keeps the rows for which `keep` returns true.
+    pub fn retain(&mut self, mut keep: impl FnMut(&Name, &mut T) -> bool) {
+        self.rows.retain_mut(|row| keep(&row.0, &mut row.1));
+    }
+
+    /// Iterates over the rows in the order of their names.
+    pub fn iter(&self) -> impl Iterator<Item = (&Name, &T)> {
+        self.rows.iter().map(|row| (&row.0, &row.1))
+    }
+
+    /// Iterates over the rows in the order of their names, for change.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = (&Name, &mut T)> {
+        self.rows.iter_mut().map(|row| (&row.0, &mut row.1))
+    }
+
+    /// Returns the number of rows.
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Returns whether the table has no row.
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+}
+
+impl<T> FromIterator<(Name, T)> for Table<T> {
+    fn from_iter<I: IntoIterator<Item = (Name, T)>>(iter: I) -> Self {
+        let mut table = Table::new();
+        for (name, value) in iter {
+            table.insert(name, value);
+        }
+        table
+    }
+}
+
+impl<T: Serialize> Serialize for Table<T> {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let mut map = serializer.serialize_map(Some(self.rows.len()))?;
+        for (name, value) in &self.rows {
+            map.serialize_entry(&**name, value)?;
+        }
+        map.end()
+    }
+}
+
+impl<'de, T: Deserialize<'de>> Deserialize<'de> for Table<T> {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_map(TableVisitor(PhantomData))
+    }
+}
+
+struct TableVisitor<T>(PhantomData<T>);
+
+impl<'de, T: Deserialize<'de>> Visitor<'de> for TableVisitor<T> {
+    type Value = Table<T>;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a map")
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<Table<T>, A::Error> {
+        let mut table = Table::new();
+        while let Some(name) = map.next_key::<String>()? {
+            table.insert(name.into(), map.next_value()?);
+        }
+        Ok(table)
+    }
+}
--- /dev/null
+++ b/src/load/deploy.rs
@@ -0,0 +1,538 @@
+//! A deployment in one process: stand-ins and nodes on loopback ports.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::StatusCode;
+use log::LevelFilter;
+use serde_json::Value;
+use serde_json::json;
+use tokio::time::Instant;
+
+use crate::core::Name;
+use crate::core::config::patch::Patch;
+use crate::core::route::PolicyKind;
+use crate::core::route::servers::Class;
+use crate::core::route::servers::Vm;
+use crate::error::Error;
+use crate::load::caller;
+use crate::load::caller::Caller;
+use crate::node;
+use crate::node::clock::Clock;
+use crate::node::log::Format;
+use crate::node::operators::PatchAnswer;
+use crate::node::operators::StatusAnswer;
+use crate::node::settings::Settings;
+use crate::standin::Standin;
+use crate::standin::cloud::NoticeOrder;
+use crate::standin::engine;
+use crate::standin::engine::batch::Costs;
+use crate::standin::engine::faults::Faults;
+use crate::standin::platform;
+use crate::standin::service;
+use crate::web::client::Client;
+
+/// Longest wait for a deployment to be ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Wait between two looks at a deployment.
+const LOOK_STEP: Duration = Duration::from_millis(50);
+
+/// Service name of nodes in the list of VMs.
+const NODE_SERVICE: &str = "cassialock";
+
+/// A backend server of a deployment.
+pub struct Backend {
+    /// The VM as the platform lists it.
+    pub vm: Vm,
+    standin: Option<Standin>,
+}
+
+/// What a deployment consists of.
+#[derive(Clone, Debug)]
+pub struct Shape {
+    /// Failure domains.
+    pub domains: Vec<&'static str>,
+    /// Name of the model service.
+    pub model: &'static str,
+    /// Servers of the model service.
+    pub engines: usize,
+    /// Name of the plain service.
+    pub portal: &'static str,
+    /// Servers of the plain service.
+    pub portals: usize,
+    /// Nodes.
+    pub nodes: usize,
+    /// Workspaces with their weights.
+    pub workspaces: Vec<(&'static str, u32)>,
+    /// Path of the calls that must not run twice.
+    pub order_path: &'static str,
+    /// Routing policy.
+    pub policy: PolicyKind,
+    /// Costs of the engines.
+    pub costs: Costs,
+}
+
+impl Shape {
+    /// Returns the shape of Copa Alta Casas del Árbol.
+    pub fn copa_alta() -> Self {
+        Self {
+            domains: vec!["rionegro", "guatape", "santa-elena"],
+            model: "dosel-llm",
+            engines: 9,
+            portal: "portal-app",
+            portals: 3,
+            nodes: 3,
+            workspaces: vec![
+                ("familias", 4),
+                ("eco-lodges", 4),
+                ("escuelas", 1),
+                ("cuadrillas", 1),
+                ("taller", 1),
+            ],
+            order_path: "/deposits",
+            policy: PolicyKind::Scored,
+            costs: Costs::default(),
+        }
+    }
+
+    /// Returns the shape of Hanul Labelworks.
+    pub fn hanul() -> Self {
+        Self {
+            domains: vec!["seoul-a", "seoul-b", "seoul-c"],
+            model: "cassia-pool",
+            engines: 12,
+            portal: "label-portal",
+            portals: 3,
+            nodes: 3,
+            workspaces: vec![
+                ("catalogue", 4),
+                ("packaging", 4),
+                ("printers", 2),
+                ("drafts", 1),
+                ("review", 1),
+            ],
+            order_path: "/approvals",
+            policy: PolicyKind::Scored,
+            costs: Costs::default(),
+        }
+    }
+
+    /// Sets the number of engines.
+    #[must_use]
+    pub fn with_engines(mut self, engines: usize) -> Self {
+        self.engines = engines;
+        self
+    }
+
+    /// Sets the number of nodes.
+    #[must_use]
+    pub fn with_nodes(mut self, nodes: usize) -> Self {
+        self.nodes = nodes;
+        self
+    }
+
+    /// Sets the routing policy.
+    #[must_use]
+    pub fn with_policy(mut self, policy: PolicyKind) -> Self {
+        self.policy = policy;
+        self
+    }
+
+    /// Returns the declared services.
+    pub fn services(&self) -> Value {
+        json!({
+            self.model: {"kind": "llm", "version": "v1", "slots": self.costs.max_batch},
+            self.portal: {
+                "kind": "plain", "version": "v1", "slots": 32,
+                "routes": [
+                    {"method": "GET", "path": "/status", "repeatable": true},
+                    {"method": "POST", "path": self.order_path, "repeatable": false},
+                ],
+            },
+        })
+    }
+
+    /// Returns the declared workspaces.
+    pub fn workspaces(&self) -> Value {
+        self.workspaces
+            .iter()
+            .map(|(name, weight)| {
+                let rate = 200_000 * weight;
+                (
+                    (*name).to_string(),
+                    json!({"weight": weight, "tokens_per_s": rate}),
+                )
+            })
+            .collect::<serde_json::Map<String, Value>>()
+            .into()
+    }
+}
+
+/// A running deployment.
+pub struct Deployment {
+    /// What it consists of.
+    pub shape: Shape,
+    /// Address of the platform.
+    pub platform: SocketAddr,
+    /// The nodes.
+    pub nodes: Vec<Option<node::Running>>,
+    /// The backend servers.
+    pub backends: Vec<Backend>,
+    /// HTTP client.
+    pub client: Client,
+    clock: Clock,
+    next_patch: u64,
+    _platform: Standin,
+}
+
+fn lost(place: &str) -> Error {
+    Error::unavailable(place, "did not answer")
+}
+
+impl Deployment {
+    /// Starts everything and puts the configuration in force by patches.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if something did not start.
+    pub async fn start(shape: Shape) -> Result<Self, Error> {
+        let platform = platform::start("127.0.0.1:0")
+            .await
+            .map_err(|e| Error::io("platform", &e))?;
+        let mut deployment = Self {
+            platform: platform.address,
+            nodes: Vec::new(),
+            backends: Vec::new(),
+            client: Client::new(),
+            clock: Clock::new(),
+            next_patch: 0,
+            _platform: platform,
+            shape,
+        };
+        for _ in 0..deployment.shape.engines {
+            deployment.start_engine("v1", Faults::default()).await?;
+        }
+        for _ in 0..deployment.shape.portals {
+            deployment.start_portal("v1").await?;
+        }
+        for _ in 0..deployment.shape.nodes {
+            deployment.start_node().await?;
+        }
+        let services = json!({"services": deployment.shape.services()});
+        deployment.patch(services).await?;
+        let workspaces = json!({"workspaces": deployment.shape.workspaces()});
+        deployment.patch(workspaces).await?;
+        deployment.wait_ready().await?;
+        Ok(deployment)
+    }
+
+    /// Starts one more engine and lists it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it did not start.
+    pub async fn start_engine(&mut self, version: &str, faults: Faults) -> Result<Name, Error> {
+        let options = engine::Options {
+            costs: self.shape.costs,
+            faults,
+            exits: false,
+        };
+        let standin = engine::start("127.0.0.1:0", options)
+            .await
+            .map_err(|e| Error::io("engine", &e))?;
+        self.list(self.shape.model, version, standin).await
+    }
+
+    /// Starts one more plain server and lists it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it did not start.
+    pub async fn start_portal(&mut self, version: &str) -> Result<Name, Error> {
+        let standin = service::start("127.0.0.1:0")
+            .await
+            .map_err(|e| Error::io("service", &e))?;
+        self.list(self.shape.portal, version, standin).await
+    }
+
+    async fn list(
+        &mut self,
+        service: &str,
+        version: &str,
+        standin: Standin,
+    ) -> Result<Name, Error> {
+        let at = self.backends.len();
+        let domain = self.shape.domains[at % self.shape.domains.len()];
+        let class = if at % 3 == 0 {
+            Class::OnDemand
+        } else {
+            Class::Reclaimable
+        };
+        let vm = Vm {
+            id: format!("{service}-{at}").into(),
+            service: service.into(),
+            version: version.into(),
+            address: standin.address.to_string().into(),
+            domain: domain.into(),
+            class,
+            leaving: false,
+        };
+        self.post_platform("/vms", &vm).await?;
+        let id = vm.id.clone();
+        self.backends.push(Backend {
+            vm,
+            standin: Some(standin),
+        });
+        Ok(id)
+    }
+
+    /// Starts one more node and lists it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it did not start.
+    pub async fn start_node(&mut self) -> Result<(), Error> {
+        let at = self.nodes.len();
+        let id: Name = format!("entry-{at}").into();
+        let domain: Name = self.shape.domains[at % self.shape.domains.len()].into();
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let seeds = self.nodes.iter().flatten().map(|n| n.peer_address);
+        let settings = Settings {
+            id: id.clone(),
+            domain: domain.clone(),
+            listen: any,
+            peer_listen: any,
+            platform: self.platform,
+            seeds: seeds.collect(),
+            node_service: NODE_SERVICE.into(),
+            policy: self.shape.policy,
+            drain: Duration::from_secs(10),
+            log_format: Format::Text,
+            log_level: LevelFilter::Warn,
+        };
+        let running = node::start(settings).await?;
+        let vm = Vm {
+            id,
+            service: NODE_SERVICE.into(),
+            version: "v1".into(),
+            address: running.peer_address.to_string().into(),
+            domain,
+            class: Class::Reclaimable,
+            leaving: false,
+        };
+        self.post_platform("/vms", &vm).await?;
+        self.nodes.push(Some(running));
+        Ok(())
+    }
+
+    /// Posts JSON to the platform.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the platform did not take it.
+    pub async fn post_platform<T: serde::Serialize>(
+        &self,
+        path: &str,
+        value: &T,
+    ) -> Result<(), Error> {
+        let address = self.platform.to_string();
+        let answer = caller::post(&self.client, &address, path, value).await;
+        match answer {
+            Some((status, _)) if status.is_success() => Ok(()),
+            Some((status, _)) => Err(Error::refused("platform", status.to_string())),
+            None => Err(lost("platform")),
+        }
+    }
+
+    /// Sets the faults of a backend server.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the server did not take them.
+    pub async fn set_faults<T: serde::Serialize>(&self, id: &str, faults: &T) -> Result<(), Error> {
+        let address = self.address_of(id).ok_or_else(|| lost(id))?;
+        match caller::post(&self.client, &address, "/control", faults).await {
+            Some((status, _)) if status.is_success() => Ok(()),
+            _ => Err(lost(id)),
+        }
+    }
+
+    /// Returns the address of a backend server.
+    pub fn address_of(&self, id: &str) -> Option<String> {
+        let backend = self.backends.iter().find(|b| *b.vm.id == *id)?;
+        Some(backend.vm.address.to_string())
+    }
+
+    /// Returns the names of the running backend servers of a service and version.
+    pub fn servers_of(&self, service: &str, version: &str) -> Vec<Name> {
+        self.backends
+            .iter()
+            .filter(|b| b.standin.is_some())
+            .filter(|b| *b.vm.service == *service && *b.vm.version == *version)
+            .map(|b| b.vm.id.clone())
+            .collect()
+    }
+
+    /// Gives notice to a backend server or node.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the platform did not take it.
+    pub async fn give_notice(&self, id: &str, left: Duration) -> Result<(), Error> {
+        let order = NoticeOrder {
+            vm: id.into(),
+            until_ms: (self.clock.now() + left).as_millis(),
+        };
+        self.post_platform("/control/notices", &order).await
+    }
+
+    /// Ends a backend server without notice and takes it off the list.
+    pub async fn kill_backend(&mut self, id: &str) {
+        let faults = Faults {
+            die: true,
+            ..Faults::default()
+        };
+        // A server that is gone already need not die.
+        let _ = self.set_faults(id, &faults).await;
+        if let Some(backend) = self.backends.iter_mut().find(|b| *b.vm.id == *id)
+            && let Some(standin) = backend.standin.take()
+        {
+            standin.kill();
+        }
+        let request = http::Request::delete(format!("http://{}/vms/{id}", self.platform))
+            .body(http_body_util::Full::default());
+        if let Ok(request) = request {
+            let _ = self.client.send(request, true, READY_TIMEOUT).await;
+        }
+    }
+
+    /// Stops a node gracefully.
+    pub async fn drain_node(&mut self, at: usize, limit: Duration) {
+        if let Some(running) = self.nodes.get_mut(at).and_then(Option::take) {
+            running.drain(limit).await;
+        }
+    }
+
+    /// Ends a node as a crash would.
+    pub fn kill_node(&mut self, at: usize) {
+        if let Some(running) = self.nodes.get_mut(at).and_then(Option::take) {
+            running.kill();
+        }
+    }
+
+    /// Returns the addresses of the running nodes.
+    pub fn entries(&self) -> Vec<String> {
+        self.nodes
+            .iter()
+            .flatten()
+            .map(|node| node.address.to_string())
+            .collect()
+    }
+
+    /// Creates a caller that begins at node `at`.
+    pub fn caller(&self, workspace: &str, at: usize) -> Caller {
+        let mut entries = self.entries();
+        let count = entries.len().max(1);
+        entries.rotate_left(at % count);
+        Caller::new(self.client.clone(), entries, workspace)
+    }
+
+    /// Returns how the system stands, as seen from its first running node.
+    pub async fn status(&self) -> Option<StatusAnswer> {
+        let address = self.entries().first()?.clone();
+        caller::get(&self.client, &address, "/v1/status").await
+    }
+
+    /// Applies a merge patch against the number in force and returns the new number.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the patch was refused or not stored.
+    pub async fn patch(&mut self, patch: Value) -> Result<u64, Error> {
+        let address = self
+            .entries()
+            .first()
+            .cloned()
+            .ok_or_else(|| lost("node"))?;
+        self.next_patch += 1;
+        let number = self
+            .nodes
+            .iter()
+            .flatten()
+            .next()
+            .map_or(0, |running| running.node.config.number());
+        let patch = Patch {
+            id: format!("deploy-{}", self.next_patch).into(),
+            base: number,
+            author: "operator".into(),
+            patch,
+        };
+        let answer = caller::post(&self.client, &address, "/v1/config", &patch).await;
+        let Some((status, body)) = answer else {
+            return Err(lost("node"));
+        };
+        if status != StatusCode::OK {
+            let text = String::from_utf8_lossy(&body).into_owned();
+            return Err(Error::refused("config", text));
+        }
+        let answer: PatchAnswer =
+            serde_json::from_slice(&body).map_err(|e| Error::refused("config", e.to_string()))?;
+        self.wait_number(answer.number).await?;
+        Ok(answer.number)
+    }
+
+    /// Waits until a configuration is in force at every running node.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if that takes too long.
+    pub async fn wait_number(&self, number: u64) -> Result<(), Error> {
+        self.wait_for("configuration", |deployment| {
+            let mut nodes = deployment.nodes.iter().flatten();
+            nodes.all(|running| running.node.config.number() >= number)
+        })
+        .await
+    }
+
+    async fn wait_ready(&self) -> Result<(), Error> {
+        let nodes = self.nodes.iter().flatten().count();
+        let backends = self.backends.len();
+        self.wait_for("deployment", |deployment| {
+            deployment.nodes.iter().flatten().all(|running| {
+                let sees_nodes = running.node.roster.lock().unwrap().live().len() == nodes;
+                let sees_servers = running.node.servers.lock().unwrap().iter().count() >= backends;
+                sees_nodes && sees_servers
+            })
+        })
+        .await
+    }
+
+    /// Waits until something holds.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if that takes too long.
+    pub async fn wait_for(&self, what: &str, holds: impl Fn(&Self) -> bool) -> Result<(), Error> {
+        let until = Instant::now() + READY_TIMEOUT;
+        while !holds(self) {
+            if Instant::now() > until {
+                return Err(Error::timed_out(what, "was not ready in time"));
+            }
+            tokio::time::sleep(LOOK_STEP).await;
+        }
+        Ok(())
+    }
+
+    /// Returns the clock.
+    pub fn clock(&self) -> Clock {
+        self.clock
+    }
+
+    /// Stops all nodes gracefully.
+    pub async fn stop(mut self) {
+        for at in 0..self.nodes.len() {
+            self.drain_node(at, Duration::from_secs(2)).await;
+        }
+    }
+}
--- /dev/null
+++ b/src/load/mod.rs
@@ -0,0 +1,5 @@
+//! Load and experiments: callers, deployments and the figures they give.
+
+pub mod caller;
+pub mod deploy;
+pub mod texts;
--- /dev/null
+++ b/src/node/backends/mod.rs
@@ -0,0 +1,133 @@
+//! Requests to backend servers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::Request;
+use http::StatusCode;
+use http_body_util::Full;
+
+use crate::core::Name;
+use crate::core::config::Service;
+use crate::core::retry::Cause;
+use crate::core::route::Request as RouteRequest;
+use crate::core::route::servers::Filter;
+use crate::core::time::Time;
+use crate::node::Node;
+
+pub mod engine;
+pub mod plain;
+
+/// Time in which a server must answer a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// A server that was chosen for an attempt.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Chosen {
+    /// Name of the backend server.
+    pub id: Name,
+    /// Its IP number and port.
+    pub address: Name,
+    /// Its version of the service.
+    pub version: Name,
+}
+
+/// Counts a request at a server until it is dropped.
+pub struct Seat {
+    node: Arc<Node>,
+    server: Name,
+}
+
+impl Seat {
+    /// Counts a request at `server`.
+    pub fn new(node: &Arc<Node>, server: &Name, blocks: &[u64]) -> Self {
+        node.servers.lock().unwrap().begin(server, blocks);
+        Self {
+            node: Arc::clone(node),
+            server: server.clone(),
+        }
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        self.node.servers.lock().unwrap().end(&self.server);
+        self.node.admission.wake();
+    }
+}
+
+/// What is known when a server is chosen.
+#[derive(Clone, Copy, Debug)]
+pub struct Choice<'a> {
+    /// Name of the service.
+    pub name: &'a str,
+    /// The service.
+    pub service: &'a Service,
+    /// The request.
+    pub request: &'a RouteRequest,
+    /// Servers that were tried already.
+    pub avoid: &'a [Name],
+    /// A random number drawn for the request; it decides on the version.
+    pub draw: u64,
+}
+
+/// Chooses a server, or returns `None` if there is none.
+///
+/// Servers in `avoid` are used again only if there are no others.
+pub fn choose(node: &Node, choice: &Choice<'_>) -> Option<Chosen> {
+    let now = node.clock.now();
+    let versions = node
+        .moves
+        .prefer(choice.name, choice.service, choice.draw, now);
+    for avoid in [choice.avoid, &[]] {
+        for version in &versions {
+            let filter = Filter {
+                service: choice.name,
+                version,
+                slots: choice.service.slots,
+                avoid,
+            };
+            if let Some(chosen) = choose_of(node, &filter, choice, now) {
+                return Some(chosen);
+            }
+        }
+    }
+    None
+}
+
+fn choose_of(node: &Node, filter: &Filter<'_>, choice: &Choice<'_>, now: Time) -> Option<Chosen> {
+    let servers = node.servers.lock().unwrap();
+    let candidates = servers.candidates(filter, choice.request, now);
+    let draw = node.draw();
+    let at = node
+        .policy
+        .lock()
+        .unwrap()
+        .choose(choice.request, &candidates, draw)?;
+    let id = &candidates[at].id;
+    let vm = &servers.get(id)?.vm;
+    Some(Chosen {
+        id: id.clone(),
+        address: vm.address.clone(),
+        version: vm.version.clone(),
+    })
+}
+
+/// Asks a server over a new connection whether it lives.
+pub async fn is_alive(node: &Node, address: &str) -> bool {
+    let request = Request::get(format!("http://{address}/health")).body(Full::default());
+    let Ok(request) = request else { return false };
+    let answer = node.client.send(request, true, PROBE_TIMEOUT).await;
+    answer.is_ok_and(|response| response.status() == StatusCode::OK)
+}
+
+/// Returns the cause to act on, given what else is known about the server.
+///
+/// A server that is leaving may go at any moment, and its end is not a failure.
+pub fn known_cause(node: &Node, server: &str, cause: Cause) -> Cause {
+    let is_leaving = node.is_leaving(server);
+    match cause {
+        Cause::Cut | Cause::Connect | Cause::Silent if is_leaving => Cause::Leaving,
+        cause => cause,
+    }
+}
--- /dev/null
+++ b/src/node/callers/mod.rs
@@ -0,0 +1,64 @@
+//! HTTP for callers and operators.
+
+use std::sync::Arc;
+
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use hyper::body::Incoming;
+
+use crate::core::call::request::Shape;
+use crate::core::refusal::Reason;
+use crate::core::refusal::Refusal;
+use crate::node::Node;
+use crate::node::operators;
+use crate::web;
+use crate::web::Body;
+
+pub mod entries;
+pub mod head;
+pub mod llm;
+pub mod plain;
+pub mod refuse;
+pub mod sink;
+
+/// Largest body of a request, in bytes.
+pub const MAX_BODY_BYTES: usize = 1_048_576;
+
+/// Answers one request.
+pub async fn handle(node: Arc<Node>, request: Request<Incoming>) -> Response<Body> {
+    let _open = node.open_work.guard();
+    let path = request.uri().path().to_string();
+    if let Some(shape) = Shape::of_path(&path) {
+        if request.method() != Method::POST {
+            return method_refusal(&node, "POST");
+        }
+        return llm::serve(&node, shape, request).await;
+    }
+    if path.starts_with("/services/") {
+        return plain::serve(&node, request).await;
+    }
+    match (request.method(), path.as_str()) {
+        (&Method::GET, "/v1/entries") => entries::serve(&node, &request),
+        (&Method::GET, "/healthz") => web::text(StatusCode::OK, "ok\n"),
+        (&Method::GET, "/readyz") => readiness(&node),
+        (&Method::GET, "/metrics") => web::text(StatusCode::OK, node.render_metrics()),
+        _ => operators::handle(&node, &path, request).await,
+    }
+}
+
+fn method_refusal(node: &Node, allowed: &str) -> Response<Body> {
+    let detail = format!("the method must be {allowed}");
+    refuse::respond(node, &Refusal::new(Reason::Malformed, detail), None)
+}
+
+fn readiness(node: &Node) -> Response<Body> {
+    if node.is_draining() {
+        web::text(StatusCode::SERVICE_UNAVAILABLE, "stopping\n")
+    } else if node.config.number() == 0 {
+        web::text(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet\n")
+    } else {
+        web::text(StatusCode::OK, "ready\n")
+    }
+}
--- /dev/null
+++ b/src/node/config.rs
@@ -0,0 +1,420 @@
+//! The configuration in force at this node.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use bytes::Bytes;
+use serde_json::Value;
+
+use crate::core::Name;
+use crate::core::config::Config;
+use crate::core::config::check;
+use crate::core::config::head;
+use crate::core::config::head::Admission;
+use crate::core::config::head::Head;
+use crate::core::config::patch;
+use crate::core::config::patch::Patch;
+use crate::core::member::gossip::Fact;
+use crate::core::table::Table;
+use crate::node::Node;
+use crate::node::members;
+use crate::node::peers::Answer;
+use crate::node::peers::Call;
+use crate::node::peers::PartText;
+use crate::node::platform::Condition;
+use crate::node::platform::Unavailable;
+use crate::node::platform::WriteError;
+use crate::node::platform::remote;
+
+/// Key of the head object.
+pub const HEAD_KEY: &str = "config/head";
+
+/// Wait before a failed read of the store is tried again.
+const RETRY_WAIT: Duration = Duration::from_millis(500);
+
+/// Wait between two reads of a node that is not a relay.
+const FALLBACK_WAIT: Duration = Duration::from_secs(10);
+
+/// Tries to store a patch before the store counts as unavailable.
+const PATCH_TRIES: usize = 4;
+
+/// A configuration with the parts it was made from.
+#[derive(Clone, Debug, Default)]
+pub struct Installed {
+    /// The head.
+    pub head: Head,
+    /// The typed configuration.
+    pub config: Config,
+    parts: Table<Arc<str>>,
+}
+
+/// Why a configuration could not be taken over.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum TakeError {
+    /// The source did not answer.
+    Unavailable,
+    /// The source holds something that does not hold together.
+    Garbled,
+}
+
+/// Holds the configuration in force; its number only ever rises.
+#[derive(Debug, Default)]
+pub struct Holder {
+    current: ArcSwap<Installed>,
+    installing: Mutex<()>,
+}
+
+impl Holder {
+    /// Creates a holder without a configuration.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the configuration in force.
+    pub fn load(&self) -> Arc<Installed> {
+        self.current.load_full()
+    }
+
+    /// Returns the number in force, or 0 if there is none.
+    pub fn number(&self) -> u64 {
+        self.current.load().head.number
+    }
+
+    /// Returns the head as JSON for another node.
+    pub fn head_text(&self) -> String {
+        let current = self.current.load();
+        if current.head.number == 0 {
+            return String::new();
+        }
+        serde_json::to_string(&current.head).unwrap_or_default()
+    }
+
+    /// Returns parts for another node.
+    pub fn parts(&self, keys: &[Name]) -> Vec<PartText> {
+        let current = self.current.load();
+        keys.iter()
+            .filter_map(|key| {
+                let text = current.parts.get(key)?;
+                Some(PartText {
+                    key: key.clone(),
+                    text: text.to_string(),
+                })
+            })
+            .collect()
+    }
+
+    /// Returns the keys of `head` whose parts are not held.
+    fn missing(&self, head: &Head) -> Vec<Name> {
+        let current = self.current.load();
+        head.parts
+            .iter()
+            .filter(|(_, key)| current.parts.get(key).is_none())
+            .map(|(_, key)| key.clone())
+            .collect()
+    }
+
+    /// Puts a configuration in force, unless one with a higher number is.
+    fn install(&self, head: Head, fetched: Vec<PartText>) -> Result<bool, TakeError> {
+        let _installing = self.installing.lock().unwrap();
+        let current = self.current.load_full();
+        if head.number <= current.head.number {
+            return Ok(false);
+        }
+        let fetched: Table<Arc<str>> = fetched
+            .into_iter()
+            .map(|part| (part.key, part.text.into()))
+            .collect();
+        let mut parts = Table::new();
+        let mut values = Vec::new();
+        for (path, key) in head.parts.iter() {
+            let text = fetched
+                .get(key)
+                .or_else(|| current.parts.get(key))
+                .ok_or(TakeError::Garbled)?;
+            let value: Value = serde_json::from_str(text).map_err(|_| TakeError::Garbled)?;
+            parts.insert(key.clone(), text.clone());
+            values.push((path.clone(), value));
+        }
+        let doc = head::join(values.iter().map(|(path, value)| (&**path, value)));
+        let config = check::parse(&doc).map_err(|_| TakeError::Garbled)?;
+        self.current.store(Arc::new(Installed {
+            head,
+            config,
+            parts,
+        }));
+        Ok(true)
+    }
+}
+
+/// Returns the document of an installed configuration.
+pub fn document(installed: &Installed) -> Value {
+    serde_json::to_value(&installed.config).unwrap_or_default()
+}
+
+async fn store_head(node: &Node) -> Result<Option<(u64, Head)>, TakeError> {
+    match node.platform.get(HEAD_KEY).await {
+        Ok(None) => Ok(None),
+        Ok(Some(object)) => {
+            let head = serde_json::from_slice(&object.value).map_err(|_| TakeError::Garbled)?;
+            Ok(Some((object.version, head)))
+        }
+        Err(Unavailable) => Err(TakeError::Unavailable),
+    }
+}
+
+async fn store_parts(node: &Node, keys: Vec<Name>) -> Result<Vec<PartText>, TakeError> {
+    let mut parts = Vec::with_capacity(keys.len());
+    for key in keys {
+        let object = node
+            .platform
+            .get(&key)
+            .await
+            .map_err(|_| TakeError::Unavailable)?
+            .ok_or(TakeError::Garbled)?;
+        let text = String::from_utf8(object.value.to_vec()).map_err(|_| TakeError::Garbled)?;
+        parts.push(PartText { key, text });
+    }
+    Ok(parts)
+}
+
+/// Takes over the configuration in the object store.
+///
+/// # Errors
+///
+/// Returns [`TakeError`] if the store did not answer.
+pub async fn take_from_store(node: &Arc<Node>) -> Result<(), TakeError> {
+    let Some((_, head)) = store_head(node).await? else {
+        return Ok(());
+    };
+    if head.number <= node.config.number() {
+        return Ok(());
+    }
+    let parts = store_parts(node, node.config.missing(&head)).await?;
+    install(node, head, parts)
+}
+
+/// Takes over the configuration of the node at `peer`.
+///
+/// # Errors
+///
+/// Returns [`TakeError`] if the node did not answer.
+pub async fn take_from_peer(node: &Arc<Node>, peer: &Name) -> Result<(), TakeError> {
+    let answer = node.peers.call(peer, &Call::GetHead).await;
+    let Ok(Answer::Head(text)) = answer else {
+        return Err(TakeError::Unavailable);
+    };
+    if text.is_empty() {
+        return Ok(());
+    }
+    let head: Head = serde_json::from_str(&text).map_err(|_| TakeError::Garbled)?;
+    if head.number <= node.config.number() {
+        return Ok(());
+    }
+    let keys = node.config.missing(&head);
+    let answer = node.peers.call(peer, &Call::GetParts(keys)).await;
+    let Ok(Answer::Parts(parts)) = answer else {
+        return Err(TakeError::Unavailable);
+    };
+    install(node, head, parts)
+}
+
+fn install(node: &Arc<Node>, head: Head, parts: Vec<PartText>) -> Result<(), TakeError> {
+    let number = head.number;
+    if node.config.install(head, parts)? {
+        log::info!("config: number {number} is in force");
+        node.moves.update(&node.config.load().config);
+        members::publish(node, Fact::Config { number });
+    }
+    Ok(())
+}
+
+/// Keeps the configuration up to date until the node stops.
+///
+/// Relays hold a watch on the store. The others hear of changes from their
+/// neighbours and read the store only now and then.
+pub async fn follow(node: Arc<Node>) {
+    let mut revision = 0;
+    loop {
+        let is_first = node.config.number() == 0;
+        if !is_first && !node.roster.lock().unwrap().is_relay() {
+            tokio::time::sleep(FALLBACK_WAIT + node.jitter(FALLBACK_WAIT)).await;
+            // The next round tries again.
+            let _ = take_from_store(&node).await;
+            continue;
+        }
+        if is_first {
+            take_from_any(&node).await;
+        }
+        match node
+            .platform
+            .watch("config/head", revision, remote::MAX_WAIT)
+            .await
+        {
+            Ok(events) => {
+                if events.events.is_empty() || take_from_store(&node).await.is_ok() {
+                    revision = events.revision;
+                }
+            }
+            Err(Unavailable) => {
+                node.count_store_failure("watch");
+                tokio::time::sleep(RETRY_WAIT + node.jitter(RETRY_WAIT)).await;
+            }
+        }
+    }
+}
+
+/// Takes the first configuration from the store, or else from a neighbour.
+async fn take_from_any(node: &Arc<Node>) {
+    if take_from_store(node).await.is_ok() {
+        return;
+    }
+    for peer in members::known_peers(node) {
+        if take_from_peer(node, &peer).await.is_ok() && node.config.number() > 0 {
+            return;
+        }
+    }
+}
+
+/// What became of a patch.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Patched {
+    /// It is accepted as this number.
+    Accepted(u64),
+    /// It was accepted before as this number.
+    Already(u64),
+    /// It was made against another number.
+    Conflict {
+        /// The current number.
+        current: u64,
+        /// Paths of the patch that changed since its base.
+        paths: Vec<String>,
+    },
+    /// The document would not hold together.
+    Faulty(Vec<check::Fault>),
+    /// The store did not answer; nothing was changed.
+    NotStored,
+    /// The store did not answer; the patch may have been accepted.
+    Unknown,
+}
+
+/// Applies an operator's patch by one conditional update of the head.
+pub async fn apply(node: &Arc<Node>, patch: &Patch) -> Patched {
+    let mut may_be_stored = false;
+    for _ in 0..PATCH_TRIES {
+        let current = match store_head(node).await {
+            Ok(current) => current,
+            Err(_) => {
+                tokio::time::sleep(node.jitter(RETRY_WAIT)).await;
+                continue;
+            }
+        };
+        let (version, head) = match current {
+            Some((version, head)) => (Some(version), head),
+            None => (None, Head::default()),
+        };
+        match head.admit(patch) {
+            Admission::Applied(number) if may_be_stored => return Patched::Accepted(number),
+            Admission::Applied(number) => return Patched::Already(number),
+            Admission::Conflict { current, paths } => return Patched::Conflict { current, paths },
+            Admission::Apply => {}
+        }
+        match try_store(node, patch, version, &head).await {
+            Ok(number) => return Patched::Accepted(number),
+            Err(StoreError::Faulty(faults)) => return Patched::Faulty(faults),
+            Err(StoreError::Conflict | StoreError::NotStored) => {}
+            Err(StoreError::Unknown) => may_be_stored = true,
+        }
+    }
+    if may_be_stored {
+        Patched::Unknown
+    } else {
+        Patched::NotStored
+    }
+}
+
+enum StoreError {
+    Faulty(Vec<check::Fault>),
+    Conflict,
+    NotStored,
+    Unknown,
+}
+
+async fn try_store(
+    node: &Arc<Node>,
+    patch: &Patch,
+    version: Option<u64>,
+    head: &Head,
+) -> Result<u64, StoreError> {
+    let held: Vec<PartText> = store_parts(node, node.config.missing(head))
+        .await
+        .map_err(|_| StoreError::NotStored)?;
+    let current = node.config.load();
+    let mut values = Vec::new();
+    for (path, key) in head.parts.iter() {
+        let fetched = held.iter().find(|part| part.key == *key);
+        let text = match fetched {
+            Some(part) => part.text.as_str(),
+            None => current.parts.get(key).ok_or(StoreError::NotStored)?,
+        };
+        let value: Value = serde_json::from_str(text).map_err(|_| StoreError::NotStored)?;
+        values.push((path.clone(), value));
+    }
+    let doc = head::join(values.iter().map(|(path, value)| (&**path, value)));
+    let next_doc = patch::apply(&doc, &patch.patch);
+    check::parse(&next_doc).map_err(StoreError::Faulty)?;
+
+    let parts = head::split(&next_doc);
+    let mut next = head.next(patch, &parts, node.clock.now().as_millis());
+    let expired = next.take_expired();
+    let mut texts = Vec::new();
+    for part in &parts {
+        let Some(key) = next.parts.get(&part.path) else {
+            continue;
+        };
+        let text = part.value.to_string();
+        if head.parts.get(&part.path) != Some(key) {
+            put_part(node, key, &text).await?;
+        }
+        texts.push(PartText {
+            key: key.clone(),
+            text,
+        });
+    }
+    let content = serde_json::to_vec(&next).map_err(|_| StoreError::NotStored)?;
+    let condition = version.map_or(Condition::Absent, Condition::Version);
+    match node.platform.put(HEAD_KEY, content.into(), condition).await {
+        Ok(_) => {}
+        Err(WriteError::Conflict) => return Err(StoreError::Conflict),
+        Err(WriteError::Unavailable) => return Err(StoreError::Unknown),
+    }
+    let number = next.number;
+    // The configuration was checked above, so it can be put in force.
+    let _ = install(node, next, texts);
+    delete_expired(node, expired);
+    Ok(number)
+}
+
+async fn put_part(node: &Node, key: &Name, text: &str) -> Result<(), StoreError> {
+    let value = Bytes::copy_from_slice(text.as_bytes());
+    match node.platform.put(key, value, Condition::Absent).await {
+        // Another try wrote the same content under the same key.
+        Ok(_) | Err(WriteError::Conflict) => Ok(()),
+        Err(WriteError::Unavailable) => Err(StoreError::NotStored),
+    }
+}
+
+fn delete_expired(node: &Arc<Node>, keys: Vec<Name>) {
+    if keys.is_empty() {
+        return;
+    }
+    let node = Arc::clone(node);
+    tokio::spawn(async move {
+        for key in keys {
+            if node.platform.delete(&key).await.is_err() {
+                log::warn!("config: part {key} was not deleted");
+            }
+        }
+    });
+}
--- /dev/null
+++ b/src/node/members.rs
@@ -0,0 +1,257 @@
+//! Heartbeats, facts and what they change at this node.
+
+use std::sync::Arc;
+
+use crate::core::Name;
+use crate::core::member::Member;
+use crate::core::member::State;
+use crate::core::member::gossip::Fact;
+use crate::core::member::roster;
+use crate::core::member::roster::Round;
+use crate::node::Node;
+use crate::node::config;
+use crate::node::feed;
+use crate::node::peers::Answer;
+use crate::node::peers::Call;
+use crate::node::peers::Heartbeat;
+
+/// Returns the peer addresses known from settings, the platform and other nodes.
+pub fn known_peers(node: &Node) -> Vec<Name> {
+    let me = &node.peer_address;
+    let mut peers: Vec<Name> = node
+        .settings
+        .seeds
+        .iter()
+        .map(|address| address.to_string().into())
+        .collect();
+    let listed = node
+        .vms
+        .lock()
+        .unwrap()
+        .of_service(&node.settings.node_service);
+    peers.extend(
+        listed
+            .into_iter()
+            .filter(|vm| !vm.leaving)
+            .map(|vm| vm.address),
+    );
+    let live = node.roster.lock().unwrap().live();
+    peers.extend(live.into_iter().map(|member| member.peer));
+    peers.sort();
+    peers.dedup();
+    peers.retain(|peer| peer != me);
+    peers
+}
+
+/// Tells every node about a fact, beginning with the neighbours.
+pub fn publish(node: &Arc<Node>, fact: Fact) {
+    let now = node.clock.now();
+    let news = node.gossip.lock().unwrap().take(&fact, now);
+    if let Some(news) = news {
+        forward(node, vec![news]);
+    }
+}
+
+/// Tells the neighbours about a fact and waits until they have it.
+pub async fn publish_and_wait(node: &Arc<Node>, fact: Fact) {
+    let now = node.clock.now();
+    let Some(news) = node.gossip.lock().unwrap().take(&fact, now) else {
+        return;
+    };
+    let call = Call::Facts(vec![news]);
+    let calls = links(node).into_iter().map(|peer| {
+        let call = call.clone();
+        async move {
+            // A neighbour that cannot be reached gets the fact by repair.
+            let _ = node.peers.call(&peer, &call).await;
+        }
+    });
+    futures_util::future::join_all(calls).await;
+}
+
+fn links(node: &Node) -> Vec<Name> {
+    node.links.lock().unwrap().clone()
+}
+
+fn forward(node: &Arc<Node>, facts: Vec<Fact>) {
+    for peer in links(node) {
+        let node = Arc::clone(node);
+        let call = Call::Facts(facts.clone());
+        tokio::spawn(async move {
+            // A neighbour that cannot be reached gets the facts by repair.
+            let _ = node.peers.call(&peer, &call).await;
+        });
+    }
+}
+
+/// Takes facts from another node and passes on what is new.
+pub fn take_facts(node: &Arc<Node>, facts: &[Fact]) {
+    let now = node.clock.now();
+    let mut news = Vec::new();
+    for fact in facts {
+        let taken = node.gossip.lock().unwrap().take(fact, now);
+        let Some(fact) = taken else { continue };
+        let answer = node.roster.lock().unwrap().take(&fact);
+        if let Some(refutation) = answer {
+            let taken = node.gossip.lock().unwrap().take(&refutation, now);
+            news.extend(taken);
+        }
+        act_on(node, &fact);
+        news.push(fact);
+    }
+    if !news.is_empty() {
+        forward(node, news);
+    }
+}
+
+fn act_on(node: &Arc<Node>, fact: &Fact) {
+    match fact {
+        Fact::Move {
+            name,
+            start_ms,
+            facts,
+        } => node.moves.merge(name, *start_ms, facts),
+        Fact::Crash(crash) => {
+            node.crashes.lock().unwrap().record(crash.clone());
+        }
+        Fact::Notice { server, until } => feed::set_leaving(node, server, *until),
+        Fact::Config { number } if *number > node.config.number() => {
+            let node = Arc::clone(node);
+            tokio::spawn(async move { catch_up(&node).await });
+        }
+        Fact::List { revision } if *revision > node.vms.lock().unwrap().revision() => {
+            let node = Arc::clone(node);
+            tokio::spawn(async move { feed::catch_up(&node).await });
+        }
+        Fact::Config { .. } | Fact::List { .. } | Fact::Member(_) | Fact::Suspect { .. } => {}
+    }
+}
+
+/// Takes over the newest configuration that a neighbour holds.
+async fn catch_up(node: &Arc<Node>) {
+    for peer in links(node) {
+        let before = node.config.number();
+        if config::take_from_peer(node, &peer).await.is_ok() && node.config.number() > before {
+            return;
+        }
+    }
+}
+
+/// Takes a heartbeat from another node.
+pub fn take_heartbeat(node: &Arc<Node>, heartbeat: &Heartbeat) {
+    let now = node.clock.now();
+    node.roster
+        .lock()
+        .unwrap()
+        .record_heartbeat(&heartbeat.from, now);
+    let fact = Fact::Member(heartbeat.from.clone());
+    take_facts(node, &[fact]);
+    node.moves
+        .merge_evidence(&heartbeat.from.id, &heartbeat.evidence);
+}
+
+/// Sends heartbeats and looks for silent neighbours until the node stops.
+pub async fn run(node: Arc<Node>) {
+    meet(&node).await;
+    let mut ticks = tokio::time::interval(roster::HEARTBEAT);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut rounds = 0_u64;
+    loop {
+        ticks.tick().await;
+        rounds += 1;
+        let now = node.clock.now();
+        let round = node.roster.lock().unwrap().round(now);
+        if round.was_paused {
+            log::warn!("members: this node was paused; it reads everything anew");
+            tokio::spawn(refresh(Arc::clone(&node)));
+        }
+        node.gossip.lock().unwrap().expire(now);
+        send_heartbeats(&node, &round);
+        for fact in round.facts {
+            if let Fact::Suspect { subject, .. } = &fact {
+                log::warn!("members: {subject} is not heard any more");
+                metrics::counter!("cassialock_suspicions_total", "node" => node.label())
+                    .increment(1);
+            }
+            publish(&node, fact);
+        }
+        if round.links.is_empty() || rounds % 20 == 0 {
+            meet(&node).await;
+        }
+    }
+}
+
+/// Reads everything anew after a pause, when nothing held can be trusted.
+async fn refresh(node: Arc<Node>) {
+    // Each failure is made good by the next regular read.
+    let _ = config::take_from_store(&node).await;
+    feed::read_list(&node).await;
+    for peer in links(&node) {
+        repair(&node, &peer).await;
+    }
+}
+
+fn send_heartbeats(node: &Arc<Node>, round: &Round) {
+    *node.links.lock().unwrap() = round.links.iter().map(|m| m.peer.clone()).collect();
+    let me = node.roster.lock().unwrap().me().clone();
+    let digest = node.gossip.lock().unwrap().digest();
+    let heartbeat = Heartbeat {
+        from: me,
+        digest,
+        evidence: node.moves.evidence(),
+    };
+    for member in &round.links {
+        tokio::spawn(send_heartbeat(
+            Arc::clone(node),
+            member.clone(),
+            heartbeat.clone(),
+        ));
+    }
+}
+
+async fn send_heartbeat(node: Arc<Node>, to: Member, heartbeat: Heartbeat) {
+    let digest = heartbeat.digest;
+    let answer = node.peers.call(&to.peer, &Call::Heartbeat(heartbeat)).await;
+    match answer {
+        Ok(Answer::Digest(other)) if other != digest => repair(&node, &to.peer).await,
+        Ok(_) | Err(_) => {}
+    }
+}
+
+/// Exchanges all facts with a node that holds others.
+async fn repair(node: &Arc<Node>, peer: &Name) {
+    if let Ok(Answer::Facts(facts)) = node.peers.call(peer, &Call::GetFacts).await {
+        take_facts(node, &facts);
+    }
+    let facts = node.gossip.lock().unwrap().all();
+    // The next heartbeat finds what is still missing.
+    let _ = node.peers.call(peer, &Call::Facts(facts)).await;
+}
+
+/// Makes this node known to nodes that it knows by address only.
+async fn meet(node: &Arc<Node>) {
+    let me = Fact::Member(node.roster.lock().unwrap().me().clone());
+    publish(node, me);
+    let known: Vec<Name> = node
+        .roster
+        .lock()
+        .unwrap()
+        .all()
+        .into_iter()
+        .map(|(member, _)| member.peer)
+        .collect();
+    let strangers: Vec<Name> = known_peers(node)
+        .into_iter()
+        .filter(|peer| !known.contains(peer))
+        .collect();
+    for peer in strangers {
+        repair(node, &peer).await;
+    }
+}
+
+/// Changes this node's own state and tells the others.
+pub async fn set_state(node: &Arc<Node>, state: State) {
+    let now = node.clock.now();
+    let fact = node.roster.lock().unwrap().set_state(state, now);
+    publish_and_wait(node, fact).await;
+}
--- /dev/null
+++ b/src/node/moves.rs
@@ -0,0 +1,371 @@
+//! Version moves at this node.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::core::Name;
+use crate::core::config::Config;
+use crate::core::config::Move;
+use crate::core::config::Service;
+use crate::core::member::gossip::Fact;
+use crate::core::moves;
+use crate::core::moves::Facts;
+use crate::core::moves::Phase;
+use crate::core::moves::Veto;
+use crate::core::moves::View;
+use crate::core::moves::judge::Judge;
+use crate::core::moves::judge::Sample;
+use crate::core::table::Table;
+use crate::core::time::Time;
+use crate::node::Node;
+use crate::node::members;
+use crate::node::peers::MoveEvidence;
+use crate::node::platform::Condition;
+use crate::node::platform::WriteError;
+
+/// Wait between two looks at all moves.
+const STEP: Duration = Duration::from_millis(100);
+
+/// Wait before a failed write of a status is tried again.
+const RETRY_WAIT: Duration = Duration::from_secs(1);
+
+struct Row {
+    plan: Move,
+    facts: Facts,
+    judge: Judge,
+    is_status_read: bool,
+    logged: Option<Phase>,
+}
+
+impl Row {
+    fn view(&self, now: Time) -> View<'_> {
+        View {
+            plan: &self.plan,
+            facts: &self.facts,
+            answers: self.judge.answers(),
+            now,
+        }
+    }
+}
+
+/// How a move stands, for operators.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Status {
+    /// Name of the move.
+    pub name: String,
+    /// The service.
+    pub service: String,
+    /// The old version.
+    pub from: String,
+    /// The new version.
+    pub to: String,
+    /// Where the move stands.
+    pub phase: Phase,
+    /// Share of the new version, in percent.
+    pub share: u8,
+    /// When the move must be decided, in milliseconds since the Unix epoch.
+    pub deadline_ms: u64,
+    /// How it stands and why, in one sentence.
+    pub sentence: String,
+}
+
+/// The version moves at this node.
+#[derive(Default)]
+pub struct Moves {
+    rows: Mutex<Table<Row>>,
+}
+
+impl Moves {
+    /// Creates a record without moves.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes over the declared moves.
+    pub fn update(&self, config: &Config) {
+        let mut rows = self.rows.lock().unwrap();
+        rows.retain(|name, _| config.moves.get(name).is_some());
+        for (name, plan) in config.moves.iter() {
+            match rows.get_mut(name) {
+                Some(row) if row.plan.start_ms == plan.start_ms => row.plan = plan.clone(),
+                _ => {
+                    let row = Row {
+                        plan: plan.clone(),
+                        facts: Facts::default(),
+                        judge: Judge::new(),
+                        is_status_read: false,
+                        logged: None,
+                    };
+                    rows.insert(name.clone(), row);
+                }
+            }
+        }
+    }
+
+    /// Takes over facts from another node.
+    pub fn merge(&self, name: &str, start_ms: u64, facts: &Facts) {
+        if let Some(row) = self.rows.lock().unwrap().get_mut(name)
+            && row.plan.start_ms == start_ms
+        {
+            row.facts.merge(facts);
+        }
+    }
+
+    /// Takes over a neighbour's counters.
+    pub fn merge_evidence(&self, node: &Name, evidence: &[MoveEvidence]) {
+        let mut rows = self.rows.lock().unwrap();
+        for item in evidence {
+            if let Some(row) = rows.get_mut(&item.name)
+                && row.plan.start_ms == item.start_ms
+            {
+                row.judge.merge(node, &item.evidence);
+            }
+        }
+    }
+
+    /// Returns this node's own counters.
+    pub fn evidence(&self) -> Vec<MoveEvidence> {
+        let rows = self.rows.lock().unwrap();
+        rows.iter()
+            .filter(|(_, row)| !row.judge.evidence().is_empty())
+            .map(|(name, row)| MoveEvidence {
+                name: name.clone(),
+                start_ms: row.plan.start_ms,
+                evidence: row.judge.evidence().clone(),
+            })
+            .collect()
+    }
+
+    /// Returns the versions to try for a request, the preferred one first.
+    pub fn prefer(&self, name: &str, service: &Service, draw: u64, now: Time) -> Vec<Name> {
+        let rows = self.rows.lock().unwrap();
+        let Some(row) = current(&rows, name, service) else {
+            return vec![service.version.clone()];
+        };
+        let view = row.view(now);
+        let Move { from, to, .. } = &row.plan;
+        match view.phase() {
+            Phase::Waiting | Phase::Reverted => vec![from.clone()],
+            Phase::Done => vec![to.clone(), from.clone()],
+            Phase::Running if moves::takes_new(view.share(), draw) => {
+                vec![to.clone(), from.clone()]
+            }
+            Phase::Running => vec![from.clone()],
+        }
+    }
+
+    /// Returns every version of a service that may get requests.
+    pub fn versions(&self, name: &str, service: &Service) -> Vec<Name> {
+        let rows = self.rows.lock().unwrap();
+        match current(&rows, name, service) {
+            Some(row) => vec![row.plan.from.clone(), row.plan.to.clone()],
+            None => vec![service.version.clone()],
+        }
+    }
+
+    /// Records how an answer of `version` went.
+    pub fn record(
+        &self,
+        service: &str,
+        version: &str,
+        route: &Name,
+        failed: bool,
+        latency: Duration,
+        now: Time,
+    ) {
+        let mut rows = self.rows.lock().unwrap();
+        for (_, row) in rows.iter_mut() {
+            let is_new = *row.plan.to == *version;
+            let concerns = *row.plan.service == *service && (is_new || *row.plan.from == *version);
+            if concerns && row.view(now).is_judged() {
+                let sample = Sample {
+                    is_new,
+                    failed,
+                    latency,
+                };
+                row.judge.record(route, &sample);
+            }
+        }
+    }
+
+    /// Returns how all moves stand.
+    pub fn status(&self, now: Time) -> Vec<Status> {
+        let rows = self.rows.lock().unwrap();
+        rows.iter()
+            .map(|(name, row)| {
+                let view = row.view(now);
+                Status {
+                    name: name.to_string(),
+                    service: row.plan.service.to_string(),
+                    from: row.plan.from.to_string(),
+                    to: row.plan.to.to_string(),
+                    phase: view.phase(),
+                    share: view.share(),
+                    deadline_ms: row.plan.deadline_ms,
+                    sentence: view.sentence(),
+                }
+            })
+            .collect()
+    }
+
+    /// Finds what this node has to tell the others.
+    fn decide(&self, node: &Name, now: Time) -> Vec<Fact> {
+        let mut news = Vec::new();
+        let mut rows = self.rows.lock().unwrap();
+        for (name, row) in rows.iter_mut() {
+            let view = row.view(now);
+            let fault = view.is_judged().then(|| row.judge.fault()).flatten();
+            let passes = view.may_pass();
+            if let Some(reason) = fault {
+                row.facts.veto = Some(Veto {
+                    reason,
+                    node: node.clone(),
+                    at: now,
+                });
+            } else if passes {
+                row.facts.passed = Some(now);
+            } else {
+                continue;
+            }
+            news.push(Fact::Move {
+                name: name.clone(),
+                start_ms: row.plan.start_ms,
+                facts: row.facts.clone(),
+            });
+        }
+        news
+    }
+
+    fn log_changes(&self, now: Time) {
+        let mut rows = self.rows.lock().unwrap();
+        for (name, row) in rows.iter_mut() {
+            let phase = row.view(now).phase();
+            if row.logged != Some(phase) {
+                log::info!("moves: {name}: {}", row.view(now).sentence());
+                row.logged = Some(phase);
+            }
+        }
+    }
+
+    /// Returns the moves whose stored status was not read yet.
+    fn unread(&self) -> Vec<(Name, u64)> {
+        let rows = self.rows.lock().unwrap();
+        rows.iter()
+            .filter(|(_, row)| !row.is_status_read)
+            .map(|(name, row)| (name.clone(), row.plan.start_ms))
+            .collect()
+    }
+
+    fn set_read(&self, name: &str) {
+        if let Some(row) = self.rows.lock().unwrap().get_mut(name) {
+            row.is_status_read = true;
+        }
+    }
+}
+
+/// Returns the move that decides on the traffic of a service: the latest one
+/// that begins at the service's declared version.
+fn current<'a>(rows: &'a Table<Row>, name: &str, service: &Service) -> Option<&'a Row> {
+    rows.iter()
+        .map(|(_, row)| row)
+        .filter(|row| *row.plan.service == *name && row.plan.from == service.version)
+        .max_by_key(|row| row.plan.start_ms)
+}
+
+/// Judges moves and stores what was decided, until the node stops.
+pub async fn run(node: Arc<Node>) {
+    loop {
+        tokio::time::sleep(STEP).await;
+        let now = node.clock.now();
+        let known = node.gossip.lock().unwrap().all();
+        for fact in &known {
+            if let Fact::Move {
+                name,
+                start_ms,
+                facts,
+            } = fact
+            {
+                node.moves.merge(name, *start_ms, facts);
+            }
+        }
+        for (name, start_ms) in node.moves.unread() {
+            if read_status(&node, &name, start_ms).await {
+                node.moves.set_read(&name);
+            }
+        }
+        for fact in node.moves.decide(&node.settings.id, now) {
+            members::publish(&node, fact.clone());
+            tokio::spawn(store_status(Arc::clone(&node), fact));
+        }
+        node.moves.log_changes(now);
+    }
+}
+
+fn status_key(name: &str, start_ms: u64) -> String {
+    format!("status/move/{name}-{start_ms}")
+}
+
+/// Takes over what is stored about a move; returns whether the store answered.
+async fn read_status(node: &Arc<Node>, name: &Name, start_ms: u64) -> bool {
+    match node.platform.get(&status_key(name, start_ms)).await {
+        Err(_) => false,
+        Ok(None) => true,
+        Ok(Some(object)) => {
+            if let Ok(facts) = serde_json::from_slice::<Facts>(&object.value) {
+                let fact = Fact::Move {
+                    name: name.clone(),
+                    start_ms,
+                    facts,
+                };
+                members::take_facts(node, &[fact]);
+            }
+            true
+        }
+    }
+}
+
+/// Stores the facts of a move, joined with what is stored already.
+async fn store_status(node: Arc<Node>, fact: Fact) {
+    let Fact::Move {
+        name,
+        start_ms,
+        facts,
+    } = fact
+    else {
+        return;
+    };
+    let key = status_key(&name, start_ms);
+    loop {
+        match try_store_status(&node, &key, &facts).await {
+            Ok(()) => return,
+            Err(WriteError::Conflict) => {}
+            Err(WriteError::Unavailable) => node.count_store_failure("status"),
+        }
+        tokio::time::sleep(RETRY_WAIT + node.jitter(RETRY_WAIT)).await;
+    }
+}
+
+async fn try_store_status(node: &Node, key: &str, facts: &Facts) -> Result<(), WriteError> {
+    let stored = node
+        .platform
+        .get(key)
+        .await
+        .map_err(|_| WriteError::Unavailable)?;
+    let (condition, mut joined) = match stored {
+        None => (Condition::Absent, Facts::default()),
+        Some(object) => (
+            Condition::Version(object.version),
+            serde_json::from_slice(&object.value).unwrap_or_default(),
+        ),
+    };
+    if !joined.merge(facts) {
+        return Ok(());
+    }
+    let content = serde_json::to_vec(&joined).map_err(|_| WriteError::Conflict)?;
+    node.platform.put(key, content.into(), condition).await?;
+    Ok(())
+}
--- /dev/null
+++ b/src/node/operators.rs
@@ -0,0 +1,269 @@
+//! Calls of operators.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use hyper::body::Incoming;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::Value;
+
+use crate::core::config::check::Fault;
+use crate::core::config::head::Change;
+use crate::core::config::patch::Patch;
+use crate::core::member::State;
+use crate::core::refusal::Reason;
+use crate::core::refusal::Refusal;
+use crate::core::verdict::Verdict;
+use crate::node::Node;
+use crate::node::callers::refuse;
+use crate::node::config;
+use crate::node::config::Patched;
+use crate::node::moves;
+use crate::node::peers::Answer;
+use crate::node::peers::Call;
+use crate::web;
+use crate::web::Body;
+
+/// Largest patch, in bytes.
+const MAX_PATCH_BYTES: usize = 1_048_576;
+
+/// The configuration in force.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct ConfigAnswer {
+    /// Its number.
+    pub number: u64,
+    /// The document.
+    pub config: Value,
+}
+
+/// An accepted patch.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct PatchAnswer {
+    /// The number of the new configuration.
+    pub number: u64,
+    /// Whether the patch was accepted before.
+    pub already: bool,
+}
+
+/// A refused patch.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct PatchRefusal {
+    /// The refusal.
+    pub error: refuse::RefusalText,
+    /// The current number, after a conflict.
+    #[serde(default)]
+    pub current: Option<u64>,
+    /// Paths that were changed since the base, after a conflict.
+    #[serde(default)]
+    pub clashes: Vec<String>,
+    /// Faults of the document.
+    #[serde(default)]
+    pub faults: Vec<Fault>,
+}
+
+/// How the system stands, as seen from one node.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct StatusAnswer {
+    /// Name of the node that answers.
+    pub node: String,
+    /// The configuration number in force there.
+    pub number: u64,
+    /// All nodes.
+    pub nodes: Vec<NodeStatus>,
+    /// Backend servers.
+    pub servers: Vec<ServerStatus>,
+    /// Version moves.
+    pub moves: Vec<moves::Status>,
+}
+
+/// How one node stands.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct NodeStatus {
+    /// Name of the node.
+    pub id: String,
+    /// Failure domain.
+    pub domain: String,
+    /// Address for callers.
+    pub address: String,
+    /// What the node says of itself.
+    pub state: State,
+    /// Whether it is believed to take requests.
+    pub live: bool,
+    /// The configuration number in force there, if it answered.
+    pub number: Option<u64>,
+}
+
+/// How one backend server stands.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct ServerStatus {
+    /// Name of the VM.
+    pub id: String,
+    /// The service.
+    pub service: String,
+    /// Version of the service.
+    pub version: String,
+    /// Failure domain.
+    pub domain: String,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// Requests of the answering node at the server.
+    pub own: u32,
+}
+
+/// Answers one call.
+pub async fn handle(node: &Arc<Node>, path: &str, request: Request<Incoming>) -> Response<Body> {
+    match (request.method().clone(), path) {
+        (Method::GET, "/v1/config") => get_config(node),
+        (Method::POST, "/v1/config") => patch_config(node, request).await,
+        (Method::GET, "/v1/config/history") => history(node),
+        (Method::GET, "/v1/status") => web::json(StatusCode::OK, &status(node).await),
+        (Method::GET, "/v1/moves") => {
+            web::json(StatusCode::OK, &node.moves.status(node.clock.now()))
+        }
+        (Method::POST, "/v1/drain") => {
+            node.ask_to_stop();
+            web::text(StatusCode::ACCEPTED, "draining\n")
+        }
+        _ => {
+            let detail = format!("no call {} {path}", request.method());
+            refuse::respond(node, &Refusal::new(Reason::UnknownRoute, detail), None)
+        }
+    }
+}
+
+fn get_config(node: &Node) -> Response<Body> {
+    let installed = node.config.load();
+    let answer = ConfigAnswer {
+        number: installed.head.number,
+        config: config::document(&installed),
+    };
+    web::json(StatusCode::OK, &answer)
+}
+
+fn history(node: &Node) -> Response<Body> {
+    let changes: Vec<Change> = node.config.load().head.history.clone();
+    web::json(StatusCode::OK, &changes)
+}
+
+async fn patch_config(node: &Arc<Node>, request: Request<Incoming>) -> Response<Body> {
+    let content = match web::read(request.into_body(), MAX_PATCH_BYTES).await {
+        Ok(content) => content,
+        Err(_) => {
+            let detail = format!("the patch must be whole and at most {MAX_PATCH_BYTES} bytes");
+            return refuse::respond(node, &Refusal::new(Reason::Oversize, detail), None);
+        }
+    };
+    let patch: Patch = match serde_json::from_slice(&content) {
+        Ok(patch) => patch,
+        Err(e) => {
+            let refusal = Refusal::new(Reason::Malformed, format!("patch: {e}"));
+            return refuse::respond(node, &refusal, None);
+        }
+    };
+    let patched = config::apply(node, &patch).await;
+    if let Patched::Accepted(number) | Patched::Already(number) = patched {
+        log::info!(
+            "config: patch {} of {} is number {number}",
+            patch.id,
+            patch.author
+        );
+        let already = matches!(patched, Patched::Already(_));
+        return web::json(StatusCode::OK, &PatchAnswer { number, already });
+    }
+    refuse_patch(node, patched)
+}
+
+fn refuse_patch(node: &Node, patched: Patched) -> Response<Body> {
+    let mut current = None;
+    let mut clashes = Vec::new();
+    let mut faults = Vec::new();
+    let refusal = match patched {
+        Patched::Conflict { current: number, paths } => {
+            current = Some(number);
+            clashes = paths;
+            let detail = format!("the configuration is number {number} now; read it and make the patch against it");
+            Refusal::new(Reason::ConfigConflict, detail)
+        }
+        Patched::Faulty(found) => {
+            faults = found;
+            Refusal::new(Reason::Malformed, "the configuration would not hold together")
+        }
+        Patched::Unknown => Refusal::new(
+            Reason::StoreUnavailable,
+            "the store did not answer and the patch may be in force; send it again with the same id",
+        )
+        .with_verdict(Verdict::MayHaveRun)
+        .with_retry_after(Duration::from_secs(2)),
+        _ => Refusal::new(
+            Reason::StoreUnavailable,
+            "the store did not answer and nothing was changed; try again later",
+        )
+        .with_retry_after(Duration::from_secs(2)),
+    };
+    let mut response = refuse::respond(node, &refusal, None);
+    let body = PatchRefusal {
+        error: refuse::RefusalText {
+            reason: refusal.reason.as_str().into(),
+            verdict: refusal.verdict,
+            message: refusal.detail,
+            request: None,
+        },
+        current,
+        clashes,
+        faults,
+    };
+    *response.body_mut() = web::full(serde_json::to_vec(&body).unwrap_or_default());
+    response.headers_mut().remove(http::header::CONTENT_LENGTH);
+    response
+}
+
+async fn status(node: &Arc<Node>) -> StatusAnswer {
+    let members = node.roster.lock().unwrap().all();
+    let asked = members.into_iter().map(|(member, live)| async move {
+        let number = if member.id == node.settings.id {
+            Some(node.config.number())
+        } else if live {
+            match node.peers.call(&member.peer, &Call::GetNumber).await {
+                Ok(Answer::Number(number)) => Some(number),
+                _ => None,
+            }
+        } else {
+            None
+        };
+        NodeStatus {
+            id: member.id.to_string(),
+            domain: member.domain.to_string(),
+            address: member.address.to_string(),
+            state: member.state,
+            live,
+            number,
+        }
+    });
+    let nodes = futures_util::future::join_all(asked).await;
+    let servers = node
+        .servers
+        .lock()
+        .unwrap()
+        .iter()
+        .map(|server| ServerStatus {
+            id: server.vm.id.to_string(),
+            service: server.vm.service.to_string(),
+            version: server.vm.version.to_string(),
+            domain: server.vm.domain.to_string(),
+            leaving: server.leaving,
+            own: server.own,
+        })
+        .collect();
+    StatusAnswer {
+        node: node.settings.id.to_string(),
+        number: node.config.number(),
+        nodes,
+        servers,
+        moves: node.moves.status(node.clock.now()),
+    }
+}
--- /dev/null
+++ b/src/node/settings.rs
@@ -0,0 +1,286 @@
+//! Settings of a node, from flags and environment variables.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use log::LevelFilter;
+
+use crate::core::Name;
+use crate::core::route::PolicyKind;
+use crate::node::log::Format;
+
+/// One setting: its flag, its variable, its default and its help text.
+#[derive(Clone, Copy, Debug)]
+pub struct Setting {
+    /// Name of the flag, without dashes.
+    pub flag: &'static str,
+    /// Name of the environment variable.
+    pub variable: &'static str,
+    /// Value used when neither is given; empty if one must be given.
+    pub default: &'static str,
+    /// What the setting does.
+    pub help: &'static str,
+}
+
+const fn setting(
+    flag: &'static str,
+    variable: &'static str,
+    default: &'static str,
+    help: &'static str,
+) -> Setting {
+    Setting {
+        flag,
+        variable,
+        default,
+        help,
+    }
+}
+
+/// Every setting of a node.
+pub const SETTINGS: [Setting; 11] = [
+    setting("id", "CASSIALOCK_ID", "", "name of this node"),
+    setting(
+        "domain",
+        "CASSIALOCK_DOMAIN",
+        "",
+        "failure domain of this node",
+    ),
+    setting(
+        "listen",
+        "CASSIALOCK_LISTEN",
+        "",
+        "IP number and port for callers and operators",
+    ),
+    setting(
+        "peer-listen",
+        "CASSIALOCK_PEER_LISTEN",
+        "",
+        "IP number and port for other nodes",
+    ),
+    setting(
+        "platform",
+        "CASSIALOCK_PLATFORM",
+        "",
+        "IP number and port of the platform's API",
+    ),
+    setting(
+        "seeds",
+        "CASSIALOCK_SEEDS",
+        "none",
+        "peer addresses to begin with, separated by commas",
+    ),
+    setting(
+        "node-service",
+        "CASSIALOCK_NODE_SERVICE",
+        "cassialock",
+        "service name of nodes in the list of VMs",
+    ),
+    setting(
+        "policy",
+        "CASSIALOCK_POLICY",
+        "scored",
+        "routing policy: scored, round-robin, least-loaded or two-choices",
+    ),
+    setting(
+        "drain-s",
+        "CASSIALOCK_DRAIN_S",
+        "25",
+        "seconds for open requests when the node stops",
+    ),
+    setting(
+        "log-format",
+        "CASSIALOCK_LOG_FORMAT",
+        "text",
+        "text or json",
+    ),
+    setting(
+        "log-level",
+        "CASSIALOCK_LOG_LEVEL",
+        "info",
+        "error, warn, info, debug or trace",
+    ),
+];
+
+/// Where a value came from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Source {
+    /// The command line.
+    Flag,
+    /// The environment.
+    Variable,
+    /// The default.
+    Default,
+}
+
+/// A value that cannot be used.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Fault {
+    /// Name of the flag.
+    pub flag: &'static str,
+    /// Name of the environment variable.
+    pub variable: &'static str,
+    /// Where the value came from.
+    pub source: Source,
+    /// What is wrong, in one clause.
+    pub problem: String,
+}
+
+impl std::fmt::Display for Fault {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Fault { flag, variable, .. } = self;
+        match self.source {
+            Source::Flag => write!(f, "--{flag}: {}", self.problem),
+            Source::Variable => write!(
+                f,
+                "{variable} (environment, for --{flag}): {}",
+                self.problem
+            ),
+            Source::Default => write!(f, "--{flag} or {variable}: {}", self.problem),
+        }
+    }
+}
+
+/// Settings of a node, all checked.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name of this node.
+    pub id: Name,
+    /// Failure domain of this node.
+    pub domain: Name,
+    /// Address for callers and operators.
+    pub listen: SocketAddr,
+    /// Address for other nodes.
+    pub peer_listen: SocketAddr,
+    /// Address of the platform's API.
+    pub platform: SocketAddr,
+    /// Peer addresses to begin with.
+    pub seeds: Vec<SocketAddr>,
+    /// Service name of nodes in the list of VMs.
+    pub node_service: Name,
+    /// Routing policy.
+    pub policy: PolicyKind,
+    /// Time for open requests when the node stops.
+    pub drain: Duration,
+    /// How log lines are written.
+    pub log_format: Format,
+    /// Least important log lines that are written.
+    pub log_level: LevelFilter,
+}
+
+struct Reader<'a> {
+    flag: &'a dyn Fn(&str) -> Option<String>,
+    variable: &'a dyn Fn(&str) -> Option<String>,
+    faults: Vec<Fault>,
+}
+
+impl Reader<'_> {
+    /// Reads one setting with `parse`, or notes the fault and returns `None`.
+    fn read<T>(&mut self, name: &str, parse: impl FnOnce(&str) -> Result<T, String>) -> Option<T> {
+        let setting = SETTINGS.iter().find(|setting| setting.flag == name)?;
+        let (value, source) = if let Some(value) = (self.flag)(setting.flag) {
+            (value, Source::Flag)
+        } else if let Some(value) = (self.variable)(setting.variable) {
+            (value, Source::Variable)
+        } else {
+            (setting.default.to_string(), Source::Default)
+        };
+        let parsed = if value.is_empty() {
+            Err("must be given".to_string())
+        } else {
+            parse(&value)
+        };
+        match parsed {
+            Ok(value) => Some(value),
+            Err(problem) => {
+                self.faults.push(Fault {
+                    flag: setting.flag,
+                    variable: setting.variable,
+                    source,
+                    problem,
+                });
+                None
+            }
+        }
+    }
+}
+
+fn parse_name(text: &str) -> Result<Name, String> {
+    let is_allowed = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+    if text.len() <= 64 && text.chars().all(is_allowed) {
+        Ok(text.into())
+    } else {
+        Err("expected at most 64 letters, digits, dashes, dots or underscores".into())
+    }
+}
+
+fn parse_address(text: &str) -> Result<SocketAddr, String> {
+    text.parse()
+        .map_err(|_| format!("expected an IP number and port, got {text:?}"))
+}
+
+fn parse_addresses(text: &str) -> Result<Vec<SocketAddr>, String> {
+    if text == "none" {
+        return Ok(Vec::new());
+    }
+    text.split(',').map(parse_address).collect()
+}
+
+fn parse_seconds(text: &str) -> Result<Duration, String> {
+    match text.parse() {
+        Ok(seconds @ 1..=3_600) => Ok(Duration::from_secs(seconds)),
+        _ => Err(format!("expected seconds from 1 to 3600, got {text:?}")),
+    }
+}
+
+impl Settings {
+    /// Reads all settings; a flag goes before its variable, and that before the default.
+    ///
+    /// # Errors
+    ///
+    /// Returns every value that cannot be used.
+    pub fn read(
+        flag: &dyn Fn(&str) -> Option<String>,
+        variable: &dyn Fn(&str) -> Option<String>,
+    ) -> Result<Self, Vec<Fault>> {
+        let mut reader = Reader {
+            flag,
+            variable,
+            faults: Vec::new(),
+        };
+        let settings = Self::read_all(&mut reader);
+        match settings {
+            Some(settings) if reader.faults.is_empty() => Ok(settings),
+            _ => Err(reader.faults),
+        }
+    }
+
+    fn read_all(reader: &mut Reader<'_>) -> Option<Self> {
+        // Every setting is read before any is missed, so that all faults are found.
+        let id = reader.read("id", parse_name);
+        let domain = reader.read("domain", parse_name);
+        let listen = reader.read("listen", parse_address);
+        let peer_listen = reader.read("peer-listen", parse_address);
+        let platform = reader.read("platform", parse_address);
+        let seeds = reader.read("seeds", parse_addresses);
+        let node_service = reader.read("node-service", parse_name);
+        let policy = reader.read("policy", str::parse);
+        let drain = reader.read("drain-s", parse_seconds);
+        let log_format = reader.read("log-format", str::parse);
+        let log_level = reader.read("log-level", |text| {
+            text.parse().map_err(|_| format!("unknown level {text:?}"))
+        });
+        Some(Self {
+            id: id?,
+            domain: domain?,
+            listen: listen?,
+            peer_listen: peer_listen?,
+            platform: platform?,
+            seeds: seeds?,
+            node_service: node_service?,
+            policy: policy?,
+            drain: drain?,
+            log_format: log_format?,
+            log_level: log_level?,
+        })
+    }
+}
