Bring about the table of faults and check the promises

Change: cassialock-load matrix runs 20 faults alone and in pairs in both deployments, behind fault proxies, with keyed calls and racing operators, and checks seven promises for each case. The pairs are not run yet.

--- a/src/demo/mod.rs
+++ b/src/demo/mod.rs
@@ -212,7 +212,7 @@
 }
 
 fn load_body(model: &str, at: usize) -> Vec<u8> {
-    let is_survey = at % 2 == 0;
+    let is_survey = at.is_multiple_of(2);
     texts::chat_body(&Ask {
         model,
         kind: if is_survey { Kind::Survey } else { Kind::Label },
--- a/src/load/deploy.rs
+++ b/src/load/deploy.rs
@@ -29,6 +29,7 @@
 use crate::standin::engine::batch::Costs;
 use crate::standin::engine::faults::Faults;
 use crate::standin::platform;
+use crate::standin::proxy;
 use crate::standin::service;
 use crate::web::client::Client;
 
@@ -45,7 +46,10 @@
 pub struct Backend {
     /// The VM as the platform lists it.
     pub vm: Vm,
+    /// The server's own address, behind its proxy.
+    pub direct: SocketAddr,
     standin: Option<Standin>,
+    proxy: proxy::Running,
 }
 
 /// What a deployment consists of.
@@ -263,8 +267,12 @@
         standin: Standin,
     ) -> Result<Name, Error> {
         let at = self.backends.len();
+        let any = "127.0.0.1:0";
+        let proxy = proxy::start(any, any, &standin.address.to_string())
+            .await
+            .map_err(|e| Error::io("proxy", &e))?;
         let domain = self.shape.domains[at % self.shape.domains.len()];
-        let class = if at % 3 == 0 {
+        let class = if at.is_multiple_of(3) {
             Class::OnDemand
         } else {
             Class::Reclaimable
@@ -273,7 +281,7 @@
             id: format!("{service}-{at}").into(),
             service: service.into(),
             version: version.into(),
-            address: standin.address.to_string().into(),
+            address: proxy.proxy.address.to_string().into(),
             domain: domain.into(),
             class,
             leaving: false,
@@ -282,7 +290,9 @@
         let id = vm.id.clone();
         self.backends.push(Backend {
             vm,
+            direct: standin.address,
             standin: Some(standin),
+            proxy,
         });
         Ok(id)
     }
@@ -358,10 +368,26 @@
         }
     }
 
-    /// Returns the address of a backend server.
+    /// Returns the address of a backend server, past its proxy.
     pub fn address_of(&self, id: &str) -> Option<String> {
         let backend = self.backends.iter().find(|b| *b.vm.id == *id)?;
-        Some(backend.vm.address.to_string())
+        Some(backend.direct.to_string())
+    }
+
+    /// Sets the faults of the proxy before a backend server.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the proxy did not take them.
+    pub async fn set_proxy(&self, id: &str, faults: &proxy::Faults) -> Result<(), Error> {
+        let backend = self.backends.iter().find(|b| *b.vm.id == *id);
+        let address = backend
+            .map(|b| b.proxy.control.address.to_string())
+            .ok_or_else(|| lost(id))?;
+        match caller::post(&self.client, &address, "/control", faults).await {
+            Some((status, _)) if status.is_success() => Ok(()),
+            _ => Err(lost(id)),
+        }
     }
 
     /// Returns the names of the running backend servers of a service and version.
@@ -400,6 +426,13 @@
         {
             standin.kill();
         }
+        let gone = proxy::Faults {
+            refuse: true,
+            cut: 1,
+            ..proxy::Faults::default()
+        };
+        // The proxy stands for the VM's address, which goes too.
+        let _ = self.set_proxy(id, &gone).await;
         let request = http::Request::delete(format!("http://{}/vms/{id}", self.platform))
             .body(http_body_util::Full::default());
         if let Ok(request) = request {
--- /dev/null
+++ b/src/load/matrix/check.rs
@@ -0,0 +1,248 @@
+//! Checks of the promises after a case.
+
+use std::time::Duration;
+
+use crate::core::Name;
+use crate::core::table::Table;
+use crate::core::verdict::Verdict;
+use crate::load::caller;
+use crate::load::caller::Ending;
+use crate::load::deploy::Deployment;
+use crate::load::matrix::Broken;
+use crate::load::matrix::Case;
+use crate::load::matrix::Promise;
+use crate::load::matrix::Report;
+use crate::load::matrix::fault::Fault;
+use crate::load::matrix::traffic::KeyedEnd;
+use crate::load::matrix::traffic::Witness;
+use crate::standin::engine;
+
+/// Time in which a configuration must be in force everywhere.
+const CONFIG_TIME: Duration = Duration::from_secs(5);
+
+/// Time over which a server that has left must get no new request.
+const LEFT_TIME: Duration = Duration::from_millis(400);
+
+/// Servers that one request may take down.
+const MAX_CRASHES: usize = 2;
+
+struct Checker<'a> {
+    case: &'a Case,
+    deployment: &'a Deployment,
+    witness: &'a Witness,
+    broken: Vec<Broken>,
+}
+
+/// Checks every promise and returns the report.
+pub async fn check(
+    case: &Case,
+    deployment: &Deployment,
+    witness: &Witness,
+    left: &[Name],
+) -> Report {
+    let mut checker = Checker {
+        case,
+        deployment,
+        witness,
+        broken: Vec::new(),
+    };
+    checker.check_answers();
+    checker.check_crashing().await;
+    checker.check_keyed().await;
+    checker.check_left(left).await;
+    checker.check_config().await;
+    let is_refused = |ending: &Ending| matches!(ending, Ending::Refused { .. });
+    let count = |want: &dyn Fn(&Ending) -> bool| {
+        witness
+            .seen
+            .iter()
+            .filter(|seen| want(&seen.ending))
+            .count() as u64
+    };
+    Report {
+        deployment: case.deployment.to_string(),
+        faults: case.faults.clone(),
+        requests: (witness.seen.len() + witness.crashing.len()) as u64,
+        whole: count(&|ending| *ending == Ending::Whole),
+        refused: count(&is_refused),
+        keyed: witness.keyed.len() as u64,
+        patches: witness.accepted.len() as u64,
+        broken: checker.broken,
+    }
+}
+
+impl Checker<'_> {
+    fn fail(&mut self, promise: Promise, seen: String) {
+        self.broken.push(Broken { promise, seen });
+    }
+
+    fn has(&self, fault: Fault) -> bool {
+        self.case.faults.contains(&fault)
+    }
+
+    fn check_answers(&mut self) {
+        let takes_node = self.case.faults.iter().any(|fault| fault.takes_node());
+        let mut whole = 0;
+        let mut failures = Vec::new();
+        for seen in &self.witness.seen {
+            match &seen.ending {
+                Ending::Whole => whole += 1,
+                Ending::Wrong(why) => failures.push((Promise::WholeAnswers, why.clone())),
+                // A node that dies takes what only it knew; its callers are told.
+                Ending::Refused { .. } if takes_node => {}
+                Ending::Refused { reason, .. } if seen.accepted => {
+                    let text = format!("accepted, then refused as {reason}");
+                    failures.push((Promise::AcceptedSurvives, text));
+                }
+                Ending::Lost(why) => {
+                    failures.push((Promise::AcceptedSurvives, format!("lost: {why}")));
+                }
+                Ending::Refused { .. } => {}
+            }
+        }
+        let total = self.witness.seen.len();
+        if whole * 10 < total * 9 {
+            failures.push((
+                Promise::Serves,
+                format!("{whole} of {total} answered whole"),
+            ));
+        }
+        for (promise, text) in failures {
+            self.fail(promise, text);
+        }
+    }
+
+    /// A request that takes down engines is tried on two servers at most.
+    async fn check_crashing(&mut self) {
+        if !self.has(Fault::CrashingRequest) {
+            return;
+        }
+        let mut dead = 0;
+        for server in self
+            .deployment
+            .servers_of(self.deployment.shape.model, "v1")
+        {
+            let Some(address) = self.deployment.address_of(&server) else {
+                continue;
+            };
+            let client = &self.deployment.client;
+            let counts = caller::get::<engine::Counts>(client, &address, "/counts").await;
+            dead += usize::from(counts.is_none());
+        }
+        if dead > MAX_CRASHES {
+            self.fail(
+                Promise::Serves,
+                format!("one request took down {dead} servers"),
+            );
+        }
+    }
+
+    async fn check_keyed(&mut self) {
+        let runs = self.runs().await;
+        for (key, count) in runs.iter() {
+            if key.starts_with("key-") && *count > 1 {
+                self.fail(Promise::AtMostOnce, format!("{key} ran {count} times"));
+            }
+        }
+        let mut ends: Table<Vec<KeyedEnd>> = Table::new();
+        for keyed in &self.witness.keyed {
+            ends.get_or_insert_with(&keyed.key.as_str().into(), Vec::new)
+                .push(keyed.end.clone());
+        }
+        for (key, ends) in ends.iter() {
+            let not_run = KeyedEnd::Refused(Verdict::NotRun);
+            let ran = runs.get(key).copied().unwrap_or(0) > 0;
+            if ran && ends.iter().all(|end| *end == not_run) {
+                self.fail(
+                    Promise::NotRunIsTrue,
+                    format!("{key} was refused as not run and ran"),
+                );
+            }
+            if !ran && ends.contains(&KeyedEnd::Answered) {
+                self.fail(
+                    Promise::WholeAnswers,
+                    format!("{key} was answered and did not run"),
+                );
+            }
+        }
+    }
+
+    /// Returns how often each key ran, over all plain servers.
+    async fn runs(&self) -> Table<u64> {
+        let mut total: Table<u64> = Table::new();
+        for portal in self
+            .deployment
+            .servers_of(self.deployment.shape.portal, "v1")
+        {
+            let Some(address) = self.deployment.address_of(&portal) else {
+                continue;
+            };
+            let client = &self.deployment.client;
+            let runs = caller::get::<Table<u64>>(client, &address, "/runs").await;
+            for (key, count) in runs.unwrap_or_default().iter() {
+                *total.get_or_insert_with(key, || 0) += count;
+            }
+        }
+        total
+    }
+
+    /// A server under notice must get no request any more.
+    async fn check_left(&mut self, left: &[Name]) {
+        if left.is_empty() {
+            return;
+        }
+        let probe = super::traffic::Traffic::start(self.deployment);
+        let before = self.counts(left).await;
+        tokio::time::sleep(LEFT_TIME).await;
+        let after = self.counts(left).await;
+        probe.stop().await;
+        for (at, server) in left.iter().enumerate() {
+            if let (Some(before), Some(after)) = (before[at], after[at])
+                && after > before
+            {
+                let text = format!("{server} got {} requests after its notice", after - before);
+                self.fail(Promise::LeavingIsLeft, text);
+            }
+        }
+    }
+
+    async fn counts(&self, servers: &[Name]) -> Vec<Option<u64>> {
+        let mut counts = Vec::new();
+        for server in servers {
+            let address = self.deployment.address_of(server).unwrap_or_default();
+            let client = &self.deployment.client;
+            let answer = caller::get::<engine::Counts>(client, &address, "/counts").await;
+            counts.push(answer.map(|counts| counts.requests));
+        }
+        counts
+    }
+
+    async fn check_config(&mut self) {
+        let mut last: Table<u64> = Table::new();
+        let mut failures = Vec::new();
+        for (node, number) in &self.witness.in_force {
+            let last = last.get_or_insert_with(&node.as_str().into(), || 0);
+            if number < last {
+                failures.push(format!("{node} went from number {last} back to {number}"));
+            }
+            *last = *number;
+        }
+        let mut accepted = self.witness.accepted.clone();
+        accepted.sort_unstable();
+        let count = accepted.len();
+        accepted.dedup();
+        if accepted.len() < count {
+            failures.push("two patches were accepted as the same number".into());
+        }
+        if let Some(&newest) = accepted.last() {
+            let waiting = self.deployment.wait_number(newest);
+            let result = tokio::time::timeout(CONFIG_TIME, waiting).await;
+            if !matches!(result, Ok(Ok(()))) {
+                failures.push(format!("number {newest} is not in force everywhere"));
+            }
+        }
+        for text in failures {
+            self.fail(Promise::ConfigHolds, text);
+        }
+    }
+}
--- /dev/null
+++ b/src/load/matrix/traffic.rs
@@ -0,0 +1,276 @@
+//! The requests that run while faults are brought about.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use http::Method;
+use serde_json::json;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+use crate::core::config::patch::Patch;
+use crate::core::verdict::Verdict;
+use crate::load::caller;
+use crate::load::caller::Caller;
+use crate::load::caller::Ending;
+use crate::load::caller::Seen;
+use crate::load::deploy::Deployment;
+use crate::load::matrix::fault::CRASH_TEXT;
+use crate::load::texts;
+use crate::load::texts::Ask;
+use crate::load::texts::Kind;
+use crate::node::operators::ConfigAnswer;
+use crate::node::operators::PatchAnswer;
+use crate::web::client::Client;
+
+/// Wait between two completion requests.
+const REQUEST_STEP: Duration = Duration::from_millis(30);
+
+/// Wait between two keyed calls.
+const KEYED_STEP: Duration = Duration::from_millis(80);
+
+/// Wait between two patches.
+const PATCH_STEP: Duration = Duration::from_millis(400);
+
+/// Time that callers wait for an answer.
+const DEADLINE: Duration = Duration::from_secs(15);
+
+/// Time that callers of keyed calls wait.
+const KEYED_DEADLINE: Duration = Duration::from_secs(4);
+
+/// Every so many requests one carries the text that takes engines down, if armed.
+const CRASH_EVERY: usize = 40;
+
+/// How one keyed call ended at one node.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum KeyedEnd {
+    /// It was answered.
+    Answered,
+    /// It was refused with this verdict.
+    Refused(Verdict),
+    /// Nothing came.
+    Lost,
+}
+
+/// One call of a keyed request.
+#[derive(Clone, Debug)]
+pub struct Keyed {
+    /// The key.
+    pub key: String,
+    /// How it ended.
+    pub end: KeyedEnd,
+}
+
+/// Everything that callers and operators saw.
+#[derive(Clone, Debug, Default)]
+pub struct Witness {
+    /// Completion requests.
+    pub seen: Vec<Seen>,
+    /// Requests that carry the text that takes engines down.
+    pub crashing: Vec<Seen>,
+    /// Keyed calls.
+    pub keyed: Vec<Keyed>,
+    /// Configuration numbers that were accepted.
+    pub accepted: Vec<u64>,
+    /// Numbers seen in force at one node, in order, by node address.
+    pub in_force: Vec<(String, u64)>,
+}
+
+/// Requests that run until they are stopped.
+pub struct Traffic {
+    stop: watch::Sender<bool>,
+    tasks: JoinSet<()>,
+    witness: Arc<Mutex<Witness>>,
+}
+
+struct Plan {
+    callers: Vec<Caller>,
+    model: &'static str,
+    keyed_path: String,
+    entries: Vec<String>,
+    client: Client,
+    stop: watch::Receiver<bool>,
+    witness: Arc<Mutex<Witness>>,
+}
+
+impl Traffic {
+    /// Starts requests of every kind.
+    pub fn start(deployment: &Deployment) -> Self {
+        let witness = Arc::new(Mutex::new(Witness::default()));
+        let (stop, stopped) = watch::channel(false);
+        let shape = &deployment.shape;
+        let callers = shape
+            .workspaces
+            .iter()
+            .enumerate()
+            .map(|(at, workspace)| deployment.caller(workspace.0, at))
+            .collect();
+        let plan = Arc::new(Plan {
+            callers,
+            model: shape.model,
+            keyed_path: format!("/services/{}{}", shape.portal, shape.order_path),
+            entries: deployment.entries(),
+            client: deployment.client.clone(),
+            stop: stopped,
+            witness: Arc::clone(&witness),
+        });
+        let mut tasks = JoinSet::new();
+        tasks.spawn(complete(Arc::clone(&plan)));
+        tasks.spawn(call_keyed(Arc::clone(&plan)));
+        tasks.spawn(patch(plan));
+        Self {
+            stop,
+            tasks,
+            witness,
+        }
+    }
+
+    /// Stops sending, waits for every open request, and returns what was seen.
+    pub async fn stop(mut self) -> Witness {
+        self.stop.send_replace(true);
+        while self.tasks.join_next().await.is_some() {}
+        self.witness.lock().unwrap().clone()
+    }
+}
+
+async fn complete(plan: Arc<Plan>) {
+    let mut open = JoinSet::new();
+    let mut at = 0;
+    while !*plan.stop.borrow() {
+        let plan = Arc::clone(&plan);
+        open.spawn(async move {
+            let mut caller = plan.callers[at % plan.callers.len()].clone();
+            let crashes = at % CRASH_EVERY == CRASH_EVERY - 1;
+            caller.refresh().await;
+            let seen = caller
+                .complete(&body(plan.model, at, crashes), DEADLINE, None)
+                .await;
+            let mut witness = plan.witness.lock().unwrap();
+            if crashes {
+                witness.crashing.push(seen);
+            } else {
+                witness.seen.push(seen);
+            }
+        });
+        at += 1;
+        tokio::time::sleep(REQUEST_STEP).await;
+    }
+    while open.join_next().await.is_some() {}
+}
+
+fn body(model: &str, at: usize, crashes: bool) -> Vec<u8> {
+    if crashes {
+        // Always the same text: its caller sends it again and again.
+        return json!({
+            "model": model, "stream": true, "max_tokens": 20,
+            "messages": [{"role": "user", "content": format!("Tie the {CRASH_TEXT}")}],
+        })
+        .to_string()
+        .into_bytes();
+    }
+    texts::chat_body(&Ask {
+        model,
+        kind: if at.is_multiple_of(2) {
+            Kind::Survey
+        } else {
+            Kind::Label
+        },
+        at,
+        customer: at % 5,
+        max_tokens: 20 + (at % 4) as u32 * 20,
+        stream: at % 4 != 3,
+    })
+}
+
+/// Makes each keyed call at one node, and again at the next if it was not answered.
+async fn call_keyed(plan: Arc<Plan>) {
+    let mut open = JoinSet::new();
+    let mut at = 0_usize;
+    while !*plan.stop.borrow() {
+        let plan = Arc::clone(&plan);
+        open.spawn(async move {
+            let caller = &plan.callers[at % plan.callers.len()];
+            let key = format!("key-{at}");
+            let resends_at_once = at.is_multiple_of(3);
+            let call = |entry| {
+                caller.call(
+                    entry,
+                    Method::POST,
+                    &plan.keyed_path,
+                    Some(&key),
+                    KEYED_DEADLINE,
+                )
+            };
+            let mut ends = Vec::new();
+            if resends_at_once {
+                let (first, second) = tokio::join!(call(at), call(at + 1));
+                ends.extend([first, second]);
+            } else {
+                for entry in at..at + 3 {
+                    let end = call(entry).await;
+                    let is_answered = end.is_ok();
+                    ends.push(end);
+                    if is_answered {
+                        break;
+                    }
+                }
+            }
+            let mut witness = plan.witness.lock().unwrap();
+            for end in ends {
+                let end = match end {
+                    Ok((status, _)) if status.is_success() => KeyedEnd::Answered,
+                    Err(Ending::Refused { verdict, .. }) => KeyedEnd::Refused(verdict),
+                    Ok(_) | Err(_) => KeyedEnd::Lost,
+                };
+                witness.keyed.push(Keyed {
+                    key: key.clone(),
+                    end,
+                });
+            }
+        });
+        at += 1;
+        tokio::time::sleep(KEYED_STEP).await;
+    }
+    while open.join_next().await.is_some() {}
+}
+
+/// Two operators race: both patch against the number that they read.
+async fn patch(plan: Arc<Plan>) {
+    let mut round = 0;
+    while !*plan.stop.borrow() {
+        for address in &plan.entries {
+            let answer = caller::get::<ConfigAnswer>(&plan.client, address, "/v1/config").await;
+            if let Some(answer) = answer {
+                let mut witness = plan.witness.lock().unwrap();
+                witness.in_force.push((address.clone(), answer.number));
+            }
+        }
+        let count = plan.entries.len();
+        let first = operator(&plan, round, "first", round % count);
+        let second = operator(&plan, round, "second", (round + 1) % count);
+        tokio::join!(first, second);
+        round += 1;
+        tokio::time::sleep(PATCH_STEP).await;
+    }
+}
+
+async fn operator(plan: &Plan, round: usize, name: &str, entry: usize) {
+    let address = &plan.entries[entry];
+    let read = caller::get::<ConfigAnswer>(&plan.client, address, "/v1/config").await;
+    let Some(read) = read else { return };
+    let workspace = format!("{name}-{}", round % 4);
+    let patch = Patch {
+        id: format!("{name}-{round}").into(),
+        base: read.number,
+        author: name.to_string(),
+        patch: json!({"workspaces": {workspace: {"weight": 1, "tokens_per_s": 1_000 + round}}}),
+    };
+    let answer = caller::post(&plan.client, address, "/v1/config", &patch).await;
+    let Some((status, body)) = answer else { return };
+    if status.is_success()
+        && let Ok(answer) = serde_json::from_slice::<PatchAnswer>(&body)
+    {
+        plan.witness.lock().unwrap().accepted.push(answer.number);
+    }
+}
--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -2,4 +2,5 @@
 
 pub mod caller;
 pub mod deploy;
+pub mod matrix;
 pub mod texts;
--- a/src/node/feed.rs
+++ b/src/node/feed.rs
@@ -173,7 +173,7 @@
         }
         let count = targets.len() as u64;
         let target = targets[(turn % count) as usize].clone();
-        let asks_events = target.is_llm && (turn / count) % LOADS_PER_EVENTS == 0;
+        let asks_events = target.is_llm && (turn / count).is_multiple_of(LOADS_PER_EVENTS);
         turn += 1;
         let node = Arc::clone(&node);
         tokio::spawn(async move {
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -175,7 +175,7 @@
             }
             publish(&node, fact);
         }
-        if round.links.is_empty() || rounds % 20 == 0 {
+        if round.links.is_empty() || rounds.is_multiple_of(20) {
             meet(&node).await;
         }
     }
