--- a/src/core/config/head.rs
+++ b/src/core/config/head.rs
@@ -170,6 +170,87 @@
     }
 }
 
+/// What changed between two numbers, for a node that holds the older one.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Delta {
+    /// The number that the delta applies to.
+    pub from: u64,
+    /// The number that it makes.
+    pub number: u64,
+    /// The key of each part that was set, by path.
+    pub set: Table<Name>,
+    /// Paths of parts that were removed.
+    pub removed: Vec<Name>,
+    /// The changes, oldest first.
+    pub changes: Vec<Change>,
+}
+
+impl Head {
+    /// Returns what changed since `from`, if the history reaches back to it.
+    pub fn delta(&self, from: u64) -> Option<Delta> {
+        let changes: Vec<Change> = self
+            .history
+            .iter()
+            .filter(|change| change.number > from)
+            .cloned()
+            .collect();
+        if from == 0 || changes.len() as u64 != self.number.checked_sub(from)? {
+            return None;
+        }
+        let mut delta = Delta {
+            from,
+            number: self.number,
+            ..Delta::default()
+        };
+        for path in changes.iter().flat_map(|change| &change.paths) {
+            let Some(path) = part_of(path) else {
+                // The patch set or removed a whole kind.
+                return None;
+            };
+            match self.parts.get(&path) {
+                Some(key) => {
+                    delta.set.insert(path, key.clone());
+                }
+                None if delta.removed.contains(&path) => {}
+                None => delta.removed.push(path),
+            }
+        }
+        delta.changes = changes;
+        Some(delta)
+    }
+
+    /// Returns the head that `delta` makes of this one, if it applies to it.
+    ///
+    /// The retired parts stay as they are: only the node that stores a change
+    /// collects them, and it reads the head from the store first.
+    pub fn with_delta(&self, delta: &Delta) -> Option<Head> {
+        if delta.from != self.number {
+            return None;
+        }
+        let mut next = self.clone();
+        next.number = delta.number;
+        for (path, key) in delta.set.iter() {
+            next.parts.insert(path.clone(), key.clone());
+        }
+        for path in &delta.removed {
+            next.parts.remove(path);
+        }
+        next.history.extend(delta.changes.iter().cloned());
+        let excess = next.history.len().saturating_sub(HISTORY);
+        next.history.drain(..excess);
+        Some(next)
+    }
+}
+
+/// Returns the part that a path of a patch lies in: `/services/x/slots` lies
+/// in `services/x`.
+fn part_of(path: &str) -> Option<Name> {
+    let mut steps = path.strip_prefix('/')?.split('/');
+    let kind = steps.next()?;
+    let name = steps.next()?;
+    Some(format!("{kind}/{name}").into())
+}
+
 /// Splits a document into its parts.
 pub fn split(doc: &Value) -> Vec<Part> {
     let mut parts = Vec::new();
--- a/src/core/member/gossip.rs
+++ b/src/core/member/gossip.rs
@@ -150,16 +150,30 @@
 struct Row {
     key: Key,
     fact: Fact,
+    hash: u64,
+}
+
+impl Row {
+    fn new(key: Key, fact: Fact) -> Self {
+        let hash = hash_of(&fact);
+        Self { key, fact, hash }
+    }
+}
+
+fn hash_of(fact: &Fact) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(format!("{fact:?}").as_bytes())
 }
 
 /// The facts that a node holds.
 ///
 /// # Invariants
 ///
-/// `rows` is sorted by key, and no key stands twice.
+/// `rows` is sorted by key, and no key stands twice. `digest` is the exclusive
+/// or of the hashes of all rows, so that one change costs one hash.
 #[derive(Clone, Debug, Default)]
 pub struct Gossip {
     rows: Vec<Row>,
+    digest: u64,
 }
 
 impl Gossip {
@@ -174,23 +188,23 @@
             return None;
         }
         let key = fact.key();
+        // INVARIANT: the digest changes with the hash of the row.
         match self.rows.binary_search_by(|row| row.key.cmp(&key)) {
             Ok(at) => {
                 let row = &mut self.rows[at];
                 if !row.fact.merge(fact) {
                     return None;
                 }
+                self.digest ^= row.hash;
+                row.hash = hash_of(&row.fact);
+                self.digest ^= row.hash;
                 Some(row.fact.clone())
             }
             Err(_) if self.rows.len() >= MAX_FACTS => None,
             Err(at) => {
-                self.rows.insert(
-                    at,
-                    Row {
-                        key,
-                        fact: fact.clone(),
-                    },
-                );
+                let row = Row::new(key, fact.clone());
+                self.digest ^= row.hash;
+                self.rows.insert(at, row);
                 Some(fact.clone())
             }
         }
@@ -198,7 +212,14 @@
 
     /// Drops the facts whose time is over.
     pub fn expire(&mut self, now: Time) {
-        self.rows.retain(|row| !row.fact.is_expired(now));
+        let digest = &mut self.digest;
+        self.rows.retain(|row| {
+            let is_expired = row.fact.is_expired(now);
+            if is_expired {
+                *digest ^= row.hash;
+            }
+            !is_expired
+        });
     }
 
     /// Returns all facts.
@@ -208,11 +229,7 @@
 
     /// Returns a digest that is equal at two nodes that hold the same facts.
     pub fn digest(&self) -> u64 {
-        let mut state = xxhash_rust::xxh3::Xxh3::new();
-        for row in &self.rows {
-            state.update(format!("{:?}", row.fact).as_bytes());
-        }
-        state.digest()
+        self.digest
     }
 
     /// Returns the number of facts.
--- a/src/core/member/links.rs
+++ b/src/core/member/links.rs
@@ -10,9 +10,10 @@
 /// Returns the neighbours that the node `from` sends to.
 ///
 /// The members stand on a ring in the order of their hashes. A node links to
-/// its two successors, to the next one of another failure domain, and to two
-/// that stand far away on the ring, so that a change reaches every node in a
-/// few steps. Every node can compute the links of every other.
+/// its successor and to the next one of another failure domain than that, so
+/// that every node is heard from two domains, and to three drawn from all
+/// members, so that a change reaches every node in a few steps. Every node can
+/// compute the links of every other.
 pub fn of<'a>(from: &str, members: impl IntoIterator<Item = &'a Member>) -> Vec<Name> {
     let mut ring: Vec<(u64, &Member)> = members
         .into_iter()
@@ -22,17 +23,28 @@
     let Some(at) = ring.iter().position(|row| *row.1.id == *from) else {
         return Vec::new();
     };
-    let size = ring.len();
-    let own_domain = &ring[at].1.domain;
-    let far = (size as f64).sqrt() as usize;
-    let other_domain = (1..size).find(|step| ring[(at + step) % size].1.domain != *own_domain);
-    let steps = [Some(1), Some(2), other_domain, Some(far), Some(size / 2)];
+    let after: Vec<&Member> = (1..ring.len())
+        .map(|step| ring[(at + step) % ring.len()].1)
+        .collect();
+    let Some(successor) = after.first() else {
+        return Vec::new();
+    };
+    let elsewhere = after.iter().find(|m| m.domain != successor.domain);
+    let mut drawn: Vec<(u64, &Member)> = after
+        .iter()
+        .map(|member| (hash(&["link", from, &member.id]), *member))
+        .collect();
+    drawn.sort_unstable_by_key(|row| row.0);
 
+    let near = std::iter::once(successor).chain(elsewhere).copied();
+    let far = drawn.into_iter().map(|row| row.1);
     let mut links: Vec<Name> = Vec::with_capacity(MAX_LINKS);
-    for step in steps.into_iter().flatten() {
-        let id = &ring[(at + step) % size].1.id;
-        if **id != *from && !links.contains(id) {
-            links.push(id.clone());
+    for member in near.chain(far) {
+        if links.len() == MAX_LINKS {
+            break;
+        }
+        if !links.contains(&member.id) {
+            links.push(member.id.clone());
         }
     }
     links
--- a/src/core/route/servers.rs
+++ b/src/core/route/servers.rs
@@ -13,9 +13,12 @@
 use crate::core::table::Table;
 use crate::core::time::Time;
 
-/// Time for which a server that refused a connection gets no new work.
+/// Time for which a server gets no new work after its first failure.
 const REST: Duration = Duration::from_millis(500);
 
+/// Longest time for which a failing server gets no new work.
+const MAX_REST: Duration = Duration::from_secs(10);
+
 /// Age at which a load report has lost half of its weight.
 const REPORT_HALF_LIFE_MS: f64 = 500.0;
 
@@ -70,9 +73,12 @@
     pub vm: Vm,
     /// Requests of this node at the server now.
     pub own: u32,
+    /// Requests of this node at the server that may have taken down another.
+    pub suspects: u32,
     /// Whether the server gets no new work for good.
     pub leaving: bool,
     rests_until: Time,
+    failures: u32,
     load: Load,
     load_at: Time,
     own_at_load: u32,
@@ -86,7 +92,9 @@
             leaving: vm.leaving,
             vm,
             own: 0,
+            suspects: 0,
             rests_until: Time::default(),
+            failures: 0,
             load: Load::default(),
             load_at: Time::default(),
             own_at_load: 0,
@@ -164,10 +172,22 @@
         }
     }
 
-    /// Keeps new work from a server for a short time after it refused some.
-    pub fn set_resting(&mut self, id: &str, now: Time) {
+    /// Keeps new work from a server for a time that doubles with each failure
+    /// in a row.
+    ///
+    /// A server that fails fast looks idle, and would else draw all requests.
+    pub fn record_failure(&mut self, id: &str, now: Time) {
+        if let Some(server) = self.rows.get_mut(id) {
+            let rest = REST * (1 << server.failures.min(8));
+            server.rests_until = now + rest.min(MAX_REST);
+            server.failures += 1;
+        }
+    }
+
+    /// Ends the count of failures in a row.
+    pub fn record_success(&mut self, id: &str) {
         if let Some(server) = self.rows.get_mut(id) {
-            server.rests_until = now + REST;
+            server.failures = 0;
         }
     }
 
@@ -195,6 +215,20 @@
         }
     }
 
+    /// Counts a request at a server that may have taken down another.
+    pub fn add_suspect(&mut self, id: &str) {
+        if let Some(server) = self.rows.get_mut(id) {
+            server.suspects += 1;
+        }
+    }
+
+    /// Counts such a request as ended.
+    pub fn remove_suspect(&mut self, id: &str) {
+        if let Some(server) = self.rows.get_mut(id) {
+            server.suspects = server.suspects.saturating_sub(1);
+        }
+    }
+
     /// Records the time to the first token of a request.
     pub fn record_first(&mut self, id: &str, first: Duration) {
         if let Some(server) = self.rows.get_mut(id) {
@@ -237,11 +271,19 @@
 
     /// Returns the candidates for a request, without those in `avoid`.
     pub fn candidates(&self, filter: &Filter<'_>, request: &Request, now: Time) -> Vec<Candidate> {
-        self.subset(filter.service, filter.version)
+        let subset = self.subset(filter.service, filter.version);
+        let servers: Vec<&Server> = subset
             .iter()
             .filter(|id| !filter.avoid.contains(id))
             .filter_map(|id| self.rows.get(id))
-            .filter(|server| server.is_usable(now))
+            .filter(|server| !server.leaving)
+            .collect();
+        // When every server rests, a doubtful one is better than none.
+        let all_rest = servers.iter().all(|server| !server.is_usable(now));
+        servers
+            .into_iter()
+            .filter(|server| all_rest || server.is_usable(now))
+            .filter(|server| !filter.alone || server.suspects == 0)
             .map(|server| Candidate {
                 id: server.vm.id.clone(),
                 inflight: server.inflight(now),
@@ -257,8 +299,10 @@
     /// Returns how many more requests the usable servers of a service can take.
     pub fn room(&self, service: &str, slots: u32, now: Time) -> u32 {
         let limit = f64::from(slots) * SLOT_FACTOR;
+        let all_rest = !self.has_usable(service, now);
         self.iter()
-            .filter(|server| *server.vm.service == *service && server.is_usable(now))
+            .filter(|server| *server.vm.service == *service && !server.leaving)
+            .filter(|server| all_rest || server.is_usable(now))
             .map(|server| (limit - server.inflight(now)).max(0.0).floor() as u32)
             .sum()
     }
@@ -281,4 +325,6 @@
     pub slots: u32,
     /// Servers that were tried already.
     pub avoid: &'a [Name],
+    /// Whether only servers that run no suspected request may be candidates.
+    pub alone: bool,
 }
--- a/src/node/backends/mod.rs
+++ b/src/node/backends/mod.rs
@@ -36,6 +36,7 @@
 pub struct Seat {
     node: Arc<Node>,
     server: Name,
+    is_suspect: bool,
 }
 
 impl Seat {
@@ -45,13 +46,30 @@
         Self {
             node: Arc::clone(node),
             server: server.clone(),
+            is_suspect: false,
         }
     }
+
+    /// Marks the request as one that may have taken down another server.
+    #[must_use]
+    pub fn with_suspect(mut self, is_suspect: bool) -> Self {
+        if is_suspect {
+            self.is_suspect = true;
+            self.node.servers.lock().unwrap().add_suspect(&self.server);
+        }
+        self
+    }
 }
 
 impl Drop for Seat {
     fn drop(&mut self) {
-        self.node.servers.lock().unwrap().end(&self.server);
+        {
+            let mut servers = self.node.servers.lock().unwrap();
+            servers.end(&self.server);
+            if self.is_suspect {
+                servers.remove_suspect(&self.server);
+            }
+        }
         self.node.admission.wake();
     }
 }
@@ -69,6 +87,11 @@
     pub avoid: &'a [Name],
     /// A random number drawn for the request; it decides on the version.
     pub draw: u64,
+    /// Whether the request may have taken down another server.
+    ///
+    /// It then goes to a server that runs no other such request, so that the
+    /// next crash shows which of them is to blame.
+    pub is_suspect: bool,
 }
 
 /// Chooses a server, or returns `None` if there is none.
@@ -86,6 +109,7 @@
                 version,
                 slots: choice.service.slots,
                 avoid,
+                alone: choice.is_suspect,
             };
             if let Some(chosen) = choose_of(node, &filter, choice, now) {
                 return Some(chosen);
--- a/src/node/callers/llm.rs
+++ b/src/node/callers/llm.rs
@@ -65,6 +65,10 @@
 /// Wait for a server when there is none at the moment.
 const NO_SERVER_WAIT: Duration = Duration::from_millis(50);
 
+/// Longest wait of a request that is suspected to take down servers for one
+/// that runs no other such request.
+const ALONE_WAIT: Duration = Duration::from_secs(2);
+
 /// One request that is being answered.
 struct Call {
     record: StreamRecord,
@@ -311,7 +315,10 @@
     /// Chooses a server, waiting a short time for one if there is none.
     async fn choose(&self, node: &Arc<Node>) -> Option<Chosen> {
         let mut avoid = self.tried.clone();
-        avoid.extend(node.crashes.lock().unwrap().servers(self.fingerprint));
+        let crashed = node.crashes.lock().unwrap().servers(self.fingerprint);
+        let mut is_suspect = !crashed.is_empty();
+        let alone_until = Instant::now() + ALONE_WAIT;
+        avoid.extend(crashed);
         loop {
             let installed = node.config.load();
             let (name, service) = service_of(&installed.config, &self.completion.model).ok()?;
@@ -321,10 +328,12 @@
                 request: &self.route,
                 avoid: &avoid,
                 draw: self.draw,
+                is_suspect,
             };
             if let Some(chosen) = backends::choose(node, &choice) {
                 return Some(chosen);
             }
+            is_suspect &= Instant::now() < alone_until;
             if node.clock.now() >= self.record.deadline {
                 return None;
             }
@@ -332,6 +341,12 @@
         }
     }
 
+    /// Returns whether a server went down while it ran this request.
+    fn is_suspect(&self, node: &Node) -> bool {
+        let crashes = node.crashes.lock().unwrap();
+        !crashes.servers(self.fingerprint).is_empty()
+    }
+
     fn no_server(&self) -> Refusal {
         let detail = format!("{} has no live backend server", self.completion.model);
         Refusal::new(Reason::NoServer, detail)
@@ -361,7 +376,8 @@
         let Ok((_, service)) = service_of(&installed.config, &self.completion.model) else {
             return Outcome::Failed(Cause::Connect);
         };
-        let _seat = Seat::new(node, &server.id, &self.route.blocks);
+        let is_suspect = self.is_suspect(node);
+        let _seat = Seat::new(node, &server.id, &self.route.blocks).with_suspect(is_suspect);
         permit.begin();
         if self.record.progress.tokens() > 0 {
             self.record.progress.resumes += 1;
@@ -416,6 +432,7 @@
 
     fn record_good(&self, node: &Node, server: &Chosen, began: Instant) {
         let latency = began.elapsed();
+        node.servers.lock().unwrap().record_success(&server.id);
         self.record_answer(node, &server.version, false, latency);
         // A server that went down under a request that runs well elsewhere is
         // to blame itself.
@@ -457,13 +474,12 @@
         if cause.blames_version() {
             self.record_answer(node, &server.version, true, Duration::ZERO);
         }
-        match cause {
-            Cause::Cut => self.look_for_crash(node, server).await,
-            Cause::Connect | Cause::Busy => {
-                let now = node.clock.now();
-                node.servers.lock().unwrap().set_resting(&server.id, now);
-            }
-            _ => {}
+        if cause == Cause::Cut {
+            self.look_for_crash(node, server).await;
+        }
+        if cause != Cause::Leaving {
+            let now = node.clock.now();
+            node.servers.lock().unwrap().record_failure(&server.id, now);
         }
         if self.stays(node, server, cause).await {
             self.silent.push(server.id.clone());
@@ -523,8 +539,6 @@
         };
         log::warn!("calls: {} went down while it ran a request", server.id);
         metrics::counter!("cassialock_crashes_total", "node" => node.label()).increment(1);
-        let now = node.clock.now();
-        node.servers.lock().unwrap().set_resting(&server.id, now);
         node.crashes.lock().unwrap().record(crash.clone());
         members::publish_and_wait(node, Fact::Crash(crash)).await;
     }
@@ -689,7 +703,6 @@
             } else {
                 let body = refuse::body(&node, &refusal, Some(&call.record.request));
                 events.end_with("error", &body).await;
-                events.cut().await;
             }
         }
         End::CallerGone | End::Released => {
--- a/src/node/callers/plain.rs
+++ b/src/node/callers/plain.rs
@@ -201,6 +201,7 @@
             request: &request,
             avoid: &self.tried,
             draw: node.draw(),
+            is_suspect: false,
         };
         let server = backends::choose(node, &choice)?;
         let _seat = Seat::new(node, &server.id, &[]);
@@ -209,6 +210,9 @@
         let timeout = self.left(node.clock.now());
         let result = plain::run(node, &server, &self.passed, is_fresh, timeout).await;
         let result = result.map_err(|cause| backends::known_cause(node, &server.id, cause));
+        if result.is_ok() {
+            node.servers.lock().unwrap().record_success(&server.id);
+        }
         Some(Tried {
             server,
             result,
@@ -246,8 +250,8 @@
         )
         .increment(1);
         let now = node.clock.now();
-        if matches!(cause, Cause::Connect | Cause::Busy) {
-            node.servers.lock().unwrap().set_resting(&server.id, now);
+        if cause != Cause::Leaving {
+            node.servers.lock().unwrap().record_failure(&server.id, now);
         }
         self.tried.push(server.id.clone());
         let situation = Situation {
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -82,13 +82,18 @@
         self.current.load().head.number
     }
 
-    /// Returns the head as JSON for another node.
-    pub fn head_text(&self) -> String {
+    /// Returns what a node that holds number `have` needs to catch up.
+    pub fn news(&self, have: u64) -> Answer {
         let current = self.current.load();
+        if let Some(delta) = current.head.delta(have) {
+            let keys: Vec<Name> = delta.set.iter().map(|(_, key)| key.clone()).collect();
+            let parts = self.parts(&keys);
+            return Answer::Delta(delta, parts);
+        }
         if current.head.number == 0 {
-            return String::new();
+            return Answer::Head(String::new());
         }
-        serde_json::to_string(&current.head).unwrap_or_default()
+        Answer::Head(serde_json::to_string(&current.head).unwrap_or_default())
     }
 
     /// Returns parts for another node.
@@ -201,14 +206,24 @@
 ///
 /// Returns [`TakeError`] if the node did not answer.
 pub async fn take_from_peer(node: &Arc<Node>, peer: &Name) -> Result<(), TakeError> {
-    let answer = node.peers.call(peer, &Call::GetHead).await;
-    let Ok(Answer::Head(text)) = answer else {
-        return Err(TakeError::Unavailable);
-    };
+    let current = node.config.load();
+    let call = Call::GetConfig(current.head.number);
+    match node.peers.call(peer, &call).await {
+        Ok(Answer::Delta(delta, parts)) => match current.head.with_delta(&delta) {
+            Some(head) => install(node, head, parts),
+            None => Err(TakeError::Garbled),
+        },
+        Ok(Answer::Head(text)) => take_head(node, peer, &text).await,
+        _ => Err(TakeError::Unavailable),
+    }
+}
+
+/// Takes over a whole head that the node at `peer` sent.
+async fn take_head(node: &Arc<Node>, peer: &Name, text: &str) -> Result<(), TakeError> {
     if text.is_empty() {
         return Ok(());
     }
-    let head: Head = serde_json::from_str(&text).map_err(|_| TakeError::Garbled)?;
+    let head: Head = serde_json::from_str(text).map_err(|_| TakeError::Garbled)?;
     if head.number <= node.config.number() {
         return Ok(());
     }
--- a/src/node/peers/mod.rs
+++ b/src/node/peers/mod.rs
@@ -6,6 +6,7 @@
 
 use crate::core::Name;
 use crate::core::call::Progress;
+use crate::core::config::head;
 use crate::core::limit::Priority;
 use crate::core::member::Member;
 use crate::core::member::gossip::Fact;
@@ -27,8 +28,8 @@
     Facts(Vec<Fact>),
     /// Asks for every fact.
     GetFacts,
-    /// Asks for the head of the configuration.
-    GetHead,
+    /// Asks for what changed in the configuration since a number.
+    GetConfig(u64),
     /// Asks for parts of the configuration by their keys.
     GetParts(Vec<Name>),
     /// Asks for the changes of the list of VMs after a revision.
@@ -50,6 +51,8 @@
     Digest(u64),
     /// Every fact held.
     Facts(Vec<Fact>),
+    /// What changed in the configuration, with the parts that were set.
+    Delta(head::Delta, Vec<PartText>),
     /// The head of the configuration as JSON; empty if there is none.
     Head(String),
     /// Parts of the configuration.
--- a/src/node/peers/server.rs
+++ b/src/node/peers/server.rs
@@ -84,7 +84,7 @@
             Answer::Done
         }
         Call::GetFacts => Answer::Facts(node.gossip.lock().unwrap().all()),
-        Call::GetHead => Answer::Head(node.config.head_text()),
+        Call::GetConfig(have) => node.config.news(have),
         Call::GetParts(keys) => Answer::Parts(node.config.parts(&keys)),
         Call::GetVms(after) => Answer::Vms(node.vms.lock().unwrap().news(after)),
         Call::TakeStream(record) => {
--- /dev/null
+++ b/tests/decisions/call.rs
@@ -0,0 +1,184 @@
+//! Assembly of whole answers, and what to do with them when a server leaves.
+
+use std::time::Duration;
+
+use cassialock::core::call::Assembly;
+use cassialock::core::call::Chunk;
+use cassialock::core::call::Progress;
+use cassialock::core::call::Step;
+use cassialock::core::call::handover;
+use cassialock::core::call::handover::Plan;
+use cassialock::core::call::request::Completion;
+use cassialock::core::call::request::Shape;
+use cassialock::core::retry::Cause;
+use proptest::prelude::ProptestConfig;
+use proptest::prop_assert_eq;
+use proptest::proptest;
+
+fn chunk(request: &str, index: u64, text: &str) -> Chunk {
+    Chunk {
+        request: request.into(),
+        index: Some(index),
+        text: text.into(),
+        ..Chunk::default()
+    }
+}
+
+fn last(request: &str, index: u64, text: &str) -> Chunk {
+    Chunk {
+        finish: Some("stop".into()),
+        ..chunk(request, index, text)
+    }
+}
+
+#[test]
+fn damaged_streams_are_never_whole() {
+    let good = || vec![chunk("r", 0, "a "), chunk("r", 1, "b "), last("r", 2, "c ")];
+    let cases: [(&str, Vec<Chunk>, Option<Cause>); 7] = [
+        ("whole", good(), None),
+        ("cut", good()[..2].to_vec(), Some(Cause::Cut)),
+        (
+            "gap",
+            vec![good()[0].clone(), good()[2].clone()],
+            Some(Cause::OutOfOrder),
+        ),
+        (
+            "repeat",
+            vec![good()[0].clone(), good()[0].clone()],
+            Some(Cause::OutOfOrder),
+        ),
+        (
+            "crossed",
+            vec![good()[0].clone(), chunk("q", 1, "b ")],
+            Some(Cause::Crossed),
+        ),
+        (
+            "after the end",
+            [good(), vec![chunk("r", 3, "d ")]].concat(),
+            Some(Cause::OutOfOrder),
+        ),
+        (
+            "no position",
+            vec![Chunk {
+                index: None,
+                ..good()[0].clone()
+            }],
+            Some(Cause::OutOfOrder),
+        ),
+    ];
+    for (name, chunks, expected) in cases {
+        let mut progress = Progress::default();
+        let mut assembly = Assembly::new("r".into());
+        let failed = chunks
+            .iter()
+            .find_map(|chunk| assembly.accept(chunk, &mut progress).err());
+        let failed = failed.or_else(|| assembly.finish(&mut progress).err());
+        assert_eq!(failed, expected, "{name}");
+        assert_eq!(progress.finish.is_some(), expected.is_none(), "{name}");
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(200) })]
+
+    /// However often a stream is cut, each token comes once and in order.
+    #[test]
+    fn cut_anywhere_gives_each_token_once(cuts in proptest::collection::vec(0_usize..12, 0..5), total in 1_usize..12) {
+        let words: Vec<String> = (0..total).map(|at| format!("w{at} ")).collect();
+        let mut progress = Progress::default();
+        let mut seen = Vec::new();
+        for cut in cuts.into_iter().map(Some).chain([None]) {
+            let mut assembly = Assembly::new("r".into());
+            let given = progress.tokens() as usize;
+            let left = &words[given..];
+            let take = cut.map_or(left.len(), |cut| cut.min(left.len()));
+            for (at, word) in left[..take].iter().enumerate() {
+                let is_last = at + 1 == left.len();
+                let chunk = if is_last { last("r", at as u64, word) } else { chunk("r", at as u64, word) };
+                if let Ok(Step::Token { index, text }) = assembly.accept(&chunk, &mut progress) {
+                    seen.push((index, text));
+                }
+            }
+            if progress.tokens() as usize == total {
+                break;
+            }
+        }
+        let expected: Vec<(u64, String)> = words.iter().cloned().enumerate().map(|(at, word)| (at as u64 + 1, word)).collect();
+        prop_assert_eq!(seen, expected);
+    }
+
+    /// A malformed body is refused and never panics.
+    #[test]
+    fn any_body_is_parsed_or_refused(body in proptest::collection::vec(0_u8..=255, 0..200)) {
+        let _ = Completion::parse(Shape::Chat, &body);
+        let _ = Completion::parse(Shape::Text, &body);
+    }
+}
+
+#[test]
+fn resumed_bodies_carry_what_was_given() {
+    let body =
+        br#"{"model":"m","max_tokens":10,"messages":[{"role":"user","content":"hello there"}]}"#;
+    let completion = Completion::parse(Shape::Chat, body).unwrap();
+    let progress = Progress {
+        text: "one two ".into(),
+        ends: vec![4, 8],
+        ..Progress::default()
+    };
+    let next = completion.upstream_body(&progress);
+    let again = Completion::parse(Shape::Chat, &next).unwrap();
+    assert_eq!(again.max_tokens, 8);
+    assert_eq!(again.prompt, "hello there");
+    assert_eq!(again.continued, "one two ");
+
+    // A second resume goes on from the first.
+    let twice = Completion::parse(Shape::Chat, &again.upstream_body(&progress)).unwrap();
+    assert_eq!(twice.continued, "one two one two ");
+}
+
+#[test]
+fn bad_fields_are_named() {
+    let cases: [(Shape, &str, &str); 9] = [
+        (Shape::Chat, "", ""),
+        (Shape::Chat, "[]", ""),
+        (Shape::Chat, "{}", "model"),
+        (Shape::Chat, r#"{"model":""}"#, "model"),
+        (Shape::Chat, r#"{"model":"m"}"#, "messages"),
+        (
+            Shape::Chat,
+            r#"{"model":"m","messages":[{"role":"user"}]}"#,
+            "messages",
+        ),
+        (
+            Shape::Chat,
+            r#"{"model":"m","messages":[],"stream":1}"#,
+            "stream",
+        ),
+        (Shape::Text, r#"{"model":"m","prompt":7}"#, "prompt"),
+        (
+            Shape::Text,
+            r#"{"model":"m","prompt":"p","max_tokens":-1}"#,
+            "max_tokens",
+        ),
+    ];
+    for (shape, body, field) in cases {
+        let invalid = Completion::parse(shape, body.as_bytes()).unwrap_err();
+        assert_eq!(invalid.field, field, "{body}");
+    }
+}
+
+#[test]
+fn a_stream_stays_moves_with_its_blocks_or_without() {
+    let token = Duration::from_millis(38);
+    let cases = [
+        (200, 10, 5_000, Plan::Stay),
+        (200, 500, 5_000, Plan::Export),
+        (20, 500, 5_000, Plan::Resume),
+        (200, 500, 600, Plan::Resume),
+        (200, 0, 600, Plan::Stay),
+    ];
+    for (held, remaining, left, expected) in cases {
+        let plan = handover::plan(held, remaining, token, Duration::from_millis(left));
+        assert_eq!(plan, expected, "{held} {remaining} {left}");
+    }
+}
--- /dev/null
+++ b/tests/decisions/main.rs
@@ -0,0 +1,10 @@
+//! Tables of decisions of the core, driven step by step without I/O.
+
+mod call;
+mod config;
+mod limit;
+mod member;
+mod moves;
+mod once;
+mod retry;
+mod route;
--- /dev/null
+++ b/tests/decisions/member.rs
@@ -0,0 +1,240 @@
+//! Membership: heartbeats, suspicion, facts and links.
+
+use std::time::Duration;
+
+use cassialock::core::Name;
+use cassialock::core::member::Member;
+use cassialock::core::member::State;
+use cassialock::core::member::gossip::Fact;
+use cassialock::core::member::gossip::Gossip;
+use cassialock::core::member::links;
+use cassialock::core::member::roster::Roster;
+use cassialock::core::moves;
+use cassialock::core::moves::Veto;
+use cassialock::core::time::Time;
+
+fn member(at: usize) -> Member {
+    Member {
+        id: format!("n{at}").into(),
+        incarnation: 1,
+        state: State::Live,
+        at: Time::default(),
+        address: format!("127.0.0.1:{at}").into(),
+        peer: format!("127.0.1.1:{at}").into(),
+        domain: format!("d{}", at % 3).into(),
+    }
+}
+
+fn suspect(subject: &str, observer: &str, domain: &str) -> Fact {
+    Fact::Suspect {
+        subject: subject.into(),
+        incarnation: 1,
+        observer: observer.into(),
+        domain: domain.into(),
+        at: Time::default(),
+    }
+}
+
+fn roster(count: usize) -> Roster {
+    let mut roster = Roster::new(member(0));
+    for at in 1..count {
+        roster.take(&Fact::Member(member(at)));
+    }
+    roster
+}
+
+#[test]
+fn suspicion_needs_observers_of_two_domains() {
+    let mut roster = roster(9);
+    roster.take(&suspect("n1", "n3", "d0"));
+    roster.take(&suspect("n1", "n6", "d0"));
+    assert!(roster.is_live("n1"));
+    roster.take(&suspect("n1", "n2", "d2"));
+    assert!(!roster.is_live("n1"));
+}
+
+#[test]
+fn a_member_refutes_a_suspicion_by_a_higher_incarnation() {
+    let mut accused = Roster::new(member(1));
+    let answer = accused.take(&suspect("n1", "n2", "d2")).unwrap();
+    let Fact::Member(me) = &answer else {
+        panic!("not a member fact");
+    };
+    assert_eq!(me.incarnation, 2);
+
+    let mut other = roster(9);
+    other.take(&suspect("n1", "n3", "d0"));
+    other.take(&suspect("n1", "n2", "d2"));
+    other.take(&answer);
+    assert!(other.is_live("n1"));
+    other.take(&suspect("n1", "n4", "d1"));
+    assert!(other.is_live("n1"), "an old suspicion counts no more");
+}
+
+#[test]
+fn a_paused_node_accuses_nobody() {
+    let mut roster = roster(3);
+    let mut now = Time::from_millis(1_000);
+    for at in [1, 2] {
+        roster.record_heartbeat(&member(at), now);
+    }
+    roster.round(now);
+    now = now + Duration::from_secs(60);
+    let round = roster.round(now);
+    assert!(round.was_paused);
+    assert!(round.facts.is_empty());
+    now = now + Duration::from_millis(500);
+    assert!(!roster.round(now).was_paused);
+}
+
+#[test]
+fn a_silent_neighbour_is_suspected_once() {
+    let mut roster = roster(3);
+    let mut now = Time::from_millis(1_000);
+    roster.record_heartbeat(&member(1), now);
+    let mut facts = 0;
+    for _ in 0..20 {
+        now = now + Duration::from_millis(500);
+        facts += roster.round(now).facts.len();
+    }
+    assert_eq!(facts, 1);
+}
+
+#[test]
+fn a_leaving_member_is_no_entry() {
+    let mut roster = roster(3);
+    let leaving = Member {
+        state: State::Leaving,
+        ..member(1)
+    };
+    roster.take(&Fact::Member(leaving));
+    assert!(roster.entries("w").iter().all(|m| &*m.id != "n1"));
+    // An older account of the same incarnation does not bring it back.
+    roster.take(&Fact::Member(member(1)));
+    assert!(!roster.is_live("n1"));
+}
+
+#[test]
+fn links_are_few_and_reach_everyone() {
+    let members: Vec<Member> = (0..1_300).map(member).collect();
+    let mut reached = vec![false; members.len()];
+    let mut edge = vec![0_usize];
+    reached[0] = true;
+    let mut hops = 0;
+    while !edge.is_empty() {
+        let mut next = Vec::new();
+        for at in edge {
+            let links = links::of(&members[at].id, &members);
+            assert!(links.len() <= links::MAX_LINKS);
+            for link in links {
+                let to: usize = link[1..].parse().unwrap();
+                if !std::mem::replace(&mut reached[to], true) {
+                    next.push(to);
+                }
+            }
+        }
+        edge = next;
+        hops += 1;
+    }
+    assert!(reached.iter().all(|r| *r));
+    assert!(hops <= 24, "news takes {hops} hops");
+}
+
+#[test]
+fn every_member_is_heard_from_two_domains() {
+    let members: Vec<Member> = (0..120).map(member).collect();
+    for subject in &members {
+        let mut domains: Vec<&Name> = links::of(&subject.id, &members)
+            .iter()
+            .filter_map(|id| members.iter().find(|m| m.id == *id))
+            .map(|m| &m.domain)
+            .collect();
+        domains.sort();
+        domains.dedup();
+        assert!(domains.len() >= 2, "{} is heard in {domains:?}", subject.id);
+    }
+}
+
+fn veto(at: u64) -> Fact {
+    Fact::Move {
+        name: "m".into(),
+        start_ms: 5,
+        facts: moves::Facts {
+            veto: Some(Veto {
+                reason: "it fails".into(),
+                node: "n1".into(),
+                at: Time::from_millis(at),
+            }),
+            passed: None,
+        },
+    }
+}
+
+fn pass(at: u64) -> Fact {
+    Fact::Move {
+        name: "m".into(),
+        start_ms: 5,
+        facts: moves::Facts {
+            veto: None,
+            passed: Some(Time::from_millis(at)),
+        },
+    }
+}
+
+#[test]
+fn facts_join_in_any_order_to_the_same_digest() {
+    let facts = [
+        veto(20),
+        veto(10),
+        pass(30),
+        Fact::Member(member(3)),
+        Fact::Member(Member {
+            state: State::Leaving,
+            ..member(3)
+        }),
+        suspect("n4", "n5", "d2"),
+        Fact::Config { number: 4 },
+        Fact::Config { number: 7 },
+    ];
+    let now = Time::from_millis(50);
+    let digest = |order: &[usize]| {
+        let mut gossip = Gossip::new();
+        for at in order {
+            gossip.take(&facts[*at], now);
+        }
+        gossip.digest()
+    };
+    let forward: Vec<usize> = (0..facts.len()).collect();
+    let backward: Vec<usize> = forward.iter().rev().copied().collect();
+    let doubled: Vec<usize> = [forward.clone(), backward.clone()].concat();
+    assert_eq!(digest(&forward), digest(&backward));
+    assert_eq!(digest(&forward), digest(&doubled));
+    assert_ne!(digest(&forward), digest(&forward[..7]));
+}
+
+#[test]
+fn a_fact_is_passed_on_once() {
+    let mut gossip = Gossip::new();
+    let now = Time::from_millis(50);
+    assert!(gossip.take(&veto(10), now).is_some());
+    assert!(gossip.take(&veto(10), now).is_none());
+    assert!(
+        gossip.take(&veto(20), now).is_none(),
+        "a later veto is no news"
+    );
+    assert!(gossip.take(&pass(5), now).is_some());
+}
+
+#[test]
+fn expired_facts_do_not_come_back() {
+    let mut gossip = Gossip::new();
+    let fact = Fact::Notice {
+        server: "s".into(),
+        until: Time::from_millis(1_000),
+    };
+    assert!(gossip.take(&fact, Time::from_millis(500)).is_some());
+    let late = Time::from_millis(1_000) + Duration::from_secs(600);
+    gossip.expire(late);
+    assert!(gossip.is_empty());
+    assert!(gossip.take(&fact, late).is_none());
+}
--- /dev/null
+++ b/tests/decisions/moves.rs
@@ -0,0 +1,178 @@
+//! Version moves: the plan, the facts and the judge.
+
+use std::time::Duration;
+
+use cassialock::core::config::Move;
+use cassialock::core::moves::Facts;
+use cassialock::core::moves::Phase;
+use cassialock::core::moves::Veto;
+use cassialock::core::moves::View;
+use cassialock::core::moves::judge::Judge;
+use cassialock::core::moves::judge::Sample;
+use cassialock::core::time::Time;
+
+fn plan() -> Move {
+    Move {
+        service: "s".into(),
+        from: "v1".into(),
+        to: "v2".into(),
+        start_ms: 0,
+        deadline_ms: 100_000,
+        revert: false,
+    }
+}
+
+fn view<'a>(plan: &'a Move, facts: &'a Facts, answers: u64, at_s: u64) -> View<'a> {
+    View {
+        plan,
+        facts,
+        answers,
+        now: Time::from_millis(at_s * 1_000),
+    }
+}
+
+#[test]
+fn the_share_grows_with_time_and_evidence() {
+    let plan = plan();
+    let facts = Facts::default();
+    let cases = [
+        (0, 0, 5),
+        (29, 1_000, 5),
+        (40, 11, 5),
+        (40, 12, 25),
+        (55, 39, 25),
+        (55, 40, 50),
+        (70, 79, 50),
+        (70, 80, 100),
+        (99, 0, 5),
+    ];
+    for (at_s, answers, share) in cases {
+        assert_eq!(
+            view(&plan, &facts, answers, at_s).share(),
+            share,
+            "{at_s} s, {answers}"
+        );
+    }
+}
+
+#[test]
+fn by_the_deadline_a_move_is_done_or_taken_back() {
+    let plan = plan();
+    let none = Facts::default();
+    let passed = Facts {
+        passed: Some(Time::from_millis(85_000)),
+        ..Facts::default()
+    };
+    let vetoed = Facts {
+        veto: Some(Veto {
+            reason: "it fails".into(),
+            node: "n".into(),
+            at: Time::from_millis(90_000),
+        }),
+        ..passed.clone()
+    };
+    let cases = [
+        (&none, 99, Phase::Running),
+        (&none, 100, Phase::Reverted),
+        (&passed, 86, Phase::Done),
+        (&passed, 500, Phase::Done),
+        (&vetoed, 86, Phase::Reverted),
+    ];
+    for (facts, at_s, phase) in cases {
+        assert_eq!(view(&plan, facts, 500, at_s).phase(), phase);
+    }
+}
+
+#[test]
+fn an_operator_can_take_a_move_back_at_any_time() {
+    let plan = Move {
+        revert: true,
+        ..plan()
+    };
+    let facts = Facts {
+        passed: Some(Time::default()),
+        ..Facts::default()
+    };
+    assert_eq!(view(&plan, &facts, 500, 90).share(), 0);
+}
+
+fn sample(is_new: bool, failed: bool, millis: u64) -> Sample {
+    Sample {
+        is_new,
+        failed,
+        latency: Duration::from_millis(millis),
+    }
+}
+
+fn seasoned() -> Judge {
+    let mut judge = Judge::new();
+    for at in 0..200 {
+        judge.record(&"a".into(), &sample(false, false, 10 + at % 10));
+        judge.record(&"b".into(), &sample(false, false, 10 + at % 10));
+    }
+    judge
+}
+
+#[test]
+fn a_good_version_has_no_fault() {
+    let mut judge = seasoned();
+    for at in 0..5_000 {
+        judge.record(&"a".into(), &sample(true, at % 200 == 7, 10 + at % 10));
+    }
+    assert_eq!(judge.fault(), None);
+    assert_eq!(judge.answers(), 5_000);
+}
+
+#[test]
+fn faults_do_not_hide() {
+    let slow = |judge: &mut Judge| judge.record(&"b".into(), &sample(true, false, 60));
+    let fail = |judge: &mut Judge| judge.record(&"b".into(), &sample(true, true, 0));
+    let good = |judge: &mut Judge| judge.record(&"a".into(), &sample(true, false, 12));
+    type Play<'a> = &'a dyn Fn(&mut Judge);
+    let cases: [(&str, Play<'_>); 3] = [
+        ("fails on one route", &|judge| {
+            for _ in 0..20 {
+                good(judge);
+                fail(judge);
+            }
+        }),
+        ("slow on one route", &|judge| {
+            for _ in 0..30 {
+                good(judge);
+                slow(judge);
+            }
+        }),
+        ("fails late", &|judge| {
+            for _ in 0..3_000 {
+                judge.record(&"b".into(), &sample(true, false, 12));
+            }
+            for _ in 0..20 {
+                fail(judge);
+            }
+        }),
+    ];
+    for (name, play) in cases {
+        let mut judge = seasoned();
+        play(&mut judge);
+        assert!(judge.fault().is_some(), "{name}");
+    }
+}
+
+#[test]
+fn neighbours_counters_add_up_and_old_ones_do_not() {
+    let mut far = seasoned();
+    for _ in 0..30 {
+        far.record(&"a".into(), &sample(true, false, 12));
+    }
+    let early = far.evidence().clone();
+    for _ in 0..10 {
+        far.record(&"a".into(), &sample(true, true, 0));
+    }
+    let late = far.evidence().clone();
+    let mut near = seasoned();
+    near.merge(&"far".into(), &late);
+    near.merge(&"far".into(), &early);
+    near.merge(&"far".into(), &late);
+    assert_eq!(near.answers(), 40);
+    assert!(near.fault().is_some());
+}
--- /dev/null
+++ b/tests/decisions/once.rs
@@ -0,0 +1,195 @@
+//! Claims: whatever is lost, doubled or late, one call runs at most once.
+
+use cassialock::core::once::Change;
+use cassialock::core::once::Claim;
+use cassialock::core::once::Effect;
+use cassialock::core::once::Outcome;
+use cassialock::core::once::RETENTION;
+use cassialock::core::once::Shard;
+use cassialock::core::once::State;
+use cassialock::core::time::Time;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+fn claim(key: &str, id: &str) -> Claim {
+    Claim {
+        key: key.into(),
+        id: id.into(),
+        body: 1,
+        at: Time::from_millis(1_000),
+        state: State::Claimed,
+    }
+}
+
+fn outcome(text: &str) -> Outcome {
+    Outcome {
+        status: 200,
+        content_type: "text/plain".into(),
+        body: Some(text.into()),
+    }
+}
+
+fn finish(key: &str, id: &str, text: &str) -> Change {
+    Change::Finish {
+        key: key.into(),
+        id: id.into(),
+        outcome: outcome(text),
+    }
+}
+
+fn release(key: &str, id: &str) -> Change {
+    Change::Release {
+        key: key.into(),
+        id: id.into(),
+    }
+}
+
+#[test]
+fn the_first_claim_has_the_key() {
+    let mut shard = Shard::new();
+    let first = Change::Claim(claim("k", "1"));
+    assert_eq!(shard.apply(&first), Effect::Granted);
+    assert_eq!(
+        shard.apply(&first),
+        Effect::Granted,
+        "a repeat has the same effect"
+    );
+    let second = shard.apply(&Change::Claim(claim("k", "2")));
+    assert_eq!(second, Effect::Held(claim("k", "1")));
+}
+
+#[test]
+fn only_the_claimer_changes_a_claim() {
+    let mut shard = Shard::new();
+    shard.apply(&Change::Claim(claim("k", "1")));
+    shard.apply(&finish("k", "2", "wrong"));
+    shard.apply(&release("k", "2"));
+    assert_eq!(shard.get("k").unwrap().state, State::Claimed);
+    shard.apply(&finish("k", "1", "right"));
+    shard.apply(&release("k", "1"));
+    assert_eq!(shard.get("k").unwrap().state, State::Done(outcome("right")));
+}
+
+#[test]
+fn a_released_key_can_be_claimed_again() {
+    let mut shard = Shard::new();
+    shard.apply(&Change::Claim(claim("k", "1")));
+    shard.apply(&release("k", "1"));
+    assert_eq!(
+        shard.apply(&Change::Claim(claim("k", "2"))),
+        Effect::Granted
+    );
+}
+
+#[test]
+fn claims_expire_and_a_full_shard_says_so() {
+    let mut shard = Shard::new();
+    shard.apply(&Change::Claim(claim("k", "1")));
+    shard.expire(Time::from_millis(1_000) + RETENTION);
+    assert!(shard.is_empty());
+    let mut at = 0;
+    while shard.apply(&Change::Claim(claim(&format!("key-{at}"), "1"))) == Effect::Granted {
+        at += 1;
+        assert!(at < 20_000, "the shard takes claims without bound");
+    }
+    let size = serde_json::to_vec(&shard).unwrap().len();
+    assert!(size < 1_048_576, "a full shard has {size} bytes");
+}
+
+/// A store that loses replies and answers late, and nodes that race on it.
+struct Race {
+    rng: SmallRng,
+    stored: Shard,
+    version: u64,
+    runs: u64,
+}
+
+impl Race {
+    /// One node's try to claim, as `node::once` does it: read, apply, write on
+    /// condition, and read again when the reply is lost.
+    fn try_claim(&mut self, id: &str, seen: &mut Option<(u64, Shard)>) -> Option<Effect> {
+        let (version, mut shard) = match seen.take() {
+            // A stale copy, kept from before.
+            Some(copy) => copy,
+            None => (self.version, self.stored.clone()),
+        };
+        let effect = shard.apply(&Change::Claim(claim("k", id)));
+        if shard == self.stored && version == self.version {
+            return Some(effect);
+        }
+        if version != self.version {
+            return None;
+        }
+        self.stored = shard;
+        self.version += 1;
+        let is_lost = self.rng.random_bool(0.3);
+        (!is_lost).then_some(effect)
+    }
+
+    fn run(&mut self) {
+        let mut copies: Vec<Option<(u64, Shard)>> = vec![None; 4];
+        for step in 0..24 {
+            let node = self.rng.random_range(0..4_usize);
+            if self.rng.random_bool(0.3) {
+                copies[node] = Some((self.version, self.stored.clone()));
+                continue;
+            }
+            let id = format!("{node}-{step}");
+            // A lost reply or conflict leads to another try with the same id.
+            let effect = (0..4).find_map(|_| self.try_claim(&id, &mut copies[node]));
+            match effect {
+                Some(Effect::Granted) => self.finish_run(&id),
+                Some(_) => {}
+                None => {
+                    self.stored.apply(&release("k", &id));
+                    self.version += 1;
+                }
+            }
+        }
+    }
+
+    /// The claimer sends the call; it may die, or its outcome may get lost.
+    fn finish_run(&mut self, id: &str) {
+        match self.rng.random_range(0..4) {
+            0 => {
+                // It dies before it sends.
+            }
+            1 => {
+                // Nothing took the call, so it gives the claim back.
+                self.stored.apply(&release("k", id));
+                self.version += 1;
+            }
+            2 => self.runs += 1,
+            _ => {
+                self.runs += 1;
+                self.stored.apply(&finish("k", id, "done"));
+                self.version += 1;
+            }
+        }
+    }
+}
+
+#[test]
+fn ten_thousand_faulty_races_run_nothing_twice() {
+    let mut ran = 0;
+    for seed in 0..10_000 {
+        let mut race = Race {
+            rng: SmallRng::seed_from_u64(seed),
+            stored: Shard::new(),
+            version: 1,
+            runs: 0,
+        };
+        race.run();
+        assert!(
+            race.runs <= 1,
+            "seed {seed}: the call ran {} times",
+            race.runs
+        );
+        ran += race.runs;
+    }
+    assert!(
+        ran > 5_000,
+        "only {ran} calls ran, so the race tests little"
+    );
+}
--- /dev/null
+++ b/tests/decisions/retry.rs
@@ -0,0 +1,125 @@
+//! Retries by verdict, budget and crash records.
+
+use std::time::Duration;
+
+use cassialock::core::retry::Budget;
+use cassialock::core::retry::Cause;
+use cassialock::core::retry::Decision;
+use cassialock::core::retry::MAX_ATTEMPTS;
+use cassialock::core::retry::Situation;
+use cassialock::core::retry::backoff;
+use cassialock::core::retry::crash::Crash;
+use cassialock::core::retry::crash::Crashes;
+use cassialock::core::retry::crash::Fingerprint;
+use cassialock::core::time::Time;
+
+fn situation(cause: Cause, repeatable: bool) -> Situation {
+    Situation {
+        cause,
+        repeatable,
+        attempts: 1,
+        deadline: Time::from_millis(2_000),
+        now: Time::from_millis(1_000),
+    }
+}
+
+#[test]
+fn only_what_did_not_run_or_may_repeat_is_tried_again() {
+    let cases = [
+        (Cause::Connect, false, Decision::Again),
+        (Cause::Busy, false, Decision::Again),
+        (Cause::Cut, false, Decision::NotRepeatable),
+        (Cause::Failed, false, Decision::NotRepeatable),
+        (Cause::Silent, false, Decision::NotRepeatable),
+        (Cause::Crossed, false, Decision::NotRepeatable),
+        (Cause::Leaving, false, Decision::NotRepeatable),
+        (Cause::Cut, true, Decision::Again),
+        (Cause::Silent, true, Decision::Again),
+        (Cause::Leaving, true, Decision::Again),
+    ];
+    for (cause, repeatable, expected) in cases {
+        let decision = Budget::new().decide(&situation(cause, repeatable));
+        assert_eq!(decision, expected, "{cause:?} {repeatable}");
+    }
+}
+
+#[test]
+fn deadline_and_attempts_end_retries() {
+    let mut late = situation(Cause::Cut, true);
+    late.now = late.deadline;
+    assert_eq!(Budget::new().decide(&late), Decision::Deadline);
+    let mut tired = situation(Cause::Cut, true);
+    tired.attempts = MAX_ATTEMPTS;
+    assert_eq!(Budget::new().decide(&tired), Decision::Attempts);
+}
+
+#[test]
+fn retries_stay_at_a_tenth_of_the_load_when_everything_fails() {
+    let mut budget = Budget::new();
+    let mut retries = 0;
+    for _ in 0..10_000 {
+        budget.earn();
+        while budget.decide(&situation(Cause::Failed, true)) == Decision::Again {
+            retries += 1;
+        }
+    }
+    // A tenth, and what a quiet node has saved up.
+    assert!(retries <= 1_051, "{retries} retries for 10,000 requests");
+}
+
+#[test]
+fn a_planned_departure_does_not_need_the_budget() {
+    let mut budget = Budget::new();
+    while budget.decide(&situation(Cause::Cut, true)) == Decision::Again {}
+    let planned = situation(Cause::Leaving, true);
+    assert_eq!(budget.decide(&planned), Decision::Again);
+}
+
+#[test]
+fn backoff_grows_and_is_spread() {
+    for attempts in 1..10 {
+        let low = backoff(attempts, 0);
+        let high = backoff(attempts, 1_023);
+        assert!(low < high && high <= Duration::from_millis(320));
+    }
+    assert!(backoff(3, 0) > backoff(1, 1_023));
+}
+
+fn crash(fingerprint: Fingerprint, server: &str, at: u64) -> Crash {
+    Crash {
+        fingerprint,
+        server: server.into(),
+        at: Time::from_millis(at),
+    }
+}
+
+#[test]
+fn a_request_is_blocked_after_it_took_down_two_servers() {
+    let mut crashes = Crashes::new();
+    let bad = Fingerprint::new("w", "s", b"body");
+    assert!(crashes.record(crash(bad, "a", 1)));
+    assert!(
+        !crashes.record(crash(bad, "a", 2)),
+        "the same server twice is one"
+    );
+    assert!(!crashes.is_blocked(bad));
+    assert!(crashes.record(crash(bad, "b", 3)));
+    assert!(crashes.is_blocked(bad));
+    assert!(!crashes.is_blocked(Fingerprint::new("w", "s", b"other")));
+    assert!(!crashes.is_blocked(Fingerprint::new("v", "s", b"body")));
+}
+
+#[test]
+fn crashes_are_forgotten_and_bounded() {
+    let mut crashes = Crashes::new();
+    let bad = Fingerprint(7);
+    crashes.record(crash(bad, "a", 1));
+    crashes.record(crash(bad, "b", 1));
+    crashes.record(crash(Fingerprint(8), "a", 601_000));
+    assert!(!crashes.is_blocked(bad));
+    for at in 0..5_000 {
+        crashes.record(crash(Fingerprint(at), "a", 700_000 + at));
+    }
+    assert!(crashes.servers(Fingerprint(4_999)).len() == 1);
+    assert!(crashes.servers(Fingerprint(100)).is_empty());
+}
--- /dev/null
+++ b/tests/decisions/route.rs
@@ -0,0 +1,242 @@
+//! Routing: subsets, prefixes, loads and the policies.
+
+use std::time::Duration;
+
+use cassialock::core::route::Candidate;
+use cassialock::core::route::Policy;
+use cassialock::core::route::PolicyKind;
+use cassialock::core::route::Request;
+use cassialock::core::route::prefix;
+use cassialock::core::route::prefix::Event;
+use cassialock::core::route::prefix::Index;
+use cassialock::core::route::scored::Scored;
+use cassialock::core::route::servers::Class;
+use cassialock::core::route::servers::Filter;
+use cassialock::core::route::servers::Load;
+use cassialock::core::route::servers::Servers;
+use cassialock::core::route::servers::Vm;
+use cassialock::core::route::subset;
+use cassialock::core::route::subset::Placed;
+use cassialock::core::time::Time;
+
+fn placed(count: usize) -> Vec<Placed> {
+    (0..count)
+        .map(|at| Placed {
+            id: format!("s{at}").into(),
+            domain: format!("d{}", at % 9).into(),
+        })
+        .collect()
+}
+
+#[test]
+fn subsets_are_stable_and_spread() {
+    let items = placed(900);
+    let before = subset::pick("node", &items, 64);
+    let mut fewer = items.clone();
+    let gone = before[10].clone();
+    fewer.retain(|item| item.id != gone);
+    fewer.reverse();
+    let after = subset::pick("node", &fewer, 64);
+    let kept = after.iter().filter(|id| before.contains(id)).count();
+    assert!(kept >= 62, "one server less changed {} places", 64 - kept);
+    for domain in 0..9 {
+        let name = format!("d{domain}");
+        let count = before
+            .iter()
+            .filter(|id| items.iter().any(|i| i.id == **id && *i.domain == *name))
+            .count();
+        assert!((7..=8).contains(&count), "{name} has {count} of 64");
+    }
+}
+
+#[test]
+fn subsets_of_many_nodes_load_servers_evenly() {
+    let items = placed(900);
+    let mut counts = vec![0_u32; 900];
+    for node in 0..1_300 {
+        for id in subset::pick(&format!("node{node}"), &items, 64) {
+            counts[id[1..].parse::<usize>().unwrap()] += 1;
+        }
+    }
+    let mean = 1_300.0 * 64.0 / 900.0;
+    let worst = f64::from(*counts.iter().max().unwrap());
+    assert!(
+        worst < mean * 1.5,
+        "a server has {worst} nodes, the mean is {mean}"
+    );
+}
+
+fn candidate(id: &str, inflight: f64, cached: f64) -> Candidate {
+    Candidate {
+        id: id.into(),
+        inflight,
+        slots: 8,
+        cached_tokens: cached,
+        near: true,
+        reclaimable: false,
+        first_ms: 100.0,
+    }
+}
+
+#[test]
+fn the_scored_policy_weighs_load_cache_distance_and_risk() {
+    let request = Request {
+        blocks: Vec::new(),
+        prompt_tokens: 400,
+        answer_tokens: 100,
+    };
+    let far = Candidate {
+        near: false,
+        ..candidate("b", 0.0, 0.0)
+    };
+    let risky = Candidate {
+        reclaimable: true,
+        ..candidate("b", 0.0, 0.0)
+    };
+    let cases = [
+        (
+            "less load",
+            candidate("a", 0.0, 0.0),
+            candidate("b", 4.0, 0.0),
+        ),
+        (
+            "warm cache",
+            candidate("a", 4.0, 384.0),
+            candidate("b", 0.0, 0.0),
+        ),
+        (
+            "full server",
+            candidate("a", 0.0, 0.0),
+            candidate("b", 12.0, 384.0),
+        ),
+        ("near", candidate("a", 0.0, 0.0), far),
+        ("on demand", candidate("a", 0.0, 0.0), risky),
+    ];
+    for (name, better, worse) in cases {
+        let mut policy = Scored::new();
+        let pair = [worse, better];
+        assert_eq!(policy.choose(&request, &pair, 0), Some(1), "{name}");
+    }
+}
+
+#[test]
+fn every_policy_chooses_only_what_there_is() {
+    for kind in ["scored", "round-robin", "least-loaded", "two-choices"] {
+        let kind: PolicyKind = kind.parse().unwrap();
+        let mut policy = kind.build();
+        assert_eq!(policy.choose(&Request::default(), &[], 7), None);
+        let one = [candidate("a", 0.0, 0.0)];
+        for draw in [0, 1, u64::MAX] {
+            assert_eq!(policy.choose(&Request::default(), &one, draw), Some(0));
+        }
+    }
+    assert!("best".parse::<PolicyKind>().is_err());
+}
+
+#[test]
+fn prefix_blocks_are_chains() {
+    let text = |tail: &str| format!("{} {tail}", "word ".repeat(40));
+    let a = prefix::blocks(&text("x"));
+    let b = prefix::blocks(&text("y"));
+    assert_eq!(a.len(), 2);
+    assert_eq!(a, b);
+    let other = prefix::blocks(&format!("other {}", text("x")));
+    assert!(other.iter().all(|hash| !a.contains(hash)));
+}
+
+#[test]
+fn gaps_in_cache_events_lower_trust_until_a_snapshot() {
+    let chain = prefix::blocks(&"word ".repeat(64));
+    let event = |seq, stored: &[u64], removed: &[u64]| Event {
+        seq,
+        stored: stored.to_vec(),
+        removed: removed.to_vec(),
+    };
+    let mut index = Index::new();
+    index.apply(&event(0, &chain, &[]));
+    assert_eq!(index.expected_tokens(&chain), 64.0);
+    index.apply(&event(2, &[], &chain[3..]));
+    assert!(index.has_gap());
+    assert_eq!(index.expected_tokens(&chain), 24.0);
+    index.apply(&event(1, &chain, &[]));
+    assert_eq!(
+        index.expected_tokens(&chain),
+        24.0,
+        "a late event is not applied again"
+    );
+    index.replace(5, &chain[..2]);
+    assert_eq!(index.expected_tokens(&chain), 32.0);
+    assert_eq!(index.next_seq(), 6);
+}
+
+fn vm(id: &str, leaving: bool) -> Vm {
+    Vm {
+        id: id.into(),
+        service: "s".into(),
+        version: "v1".into(),
+        address: "127.0.0.1:1".into(),
+        domain: "d".into(),
+        class: Class::Reclaimable,
+        leaving,
+    }
+}
+
+const FILTER: Filter<'_> = Filter {
+    service: "s",
+    version: "v1",
+    slots: 8,
+    avoid: &[],
+    alone: false,
+};
+
+#[test]
+fn a_leaving_server_stays_away_though_the_list_lags() {
+    let mut servers = Servers::new("n".into(), "d".into());
+    let now = Time::from_millis(1_000);
+    servers.update(&[vm("a", false), vm("b", false)]);
+    servers.set_leaving("a");
+    servers.update(&[vm("a", false), vm("b", false)]);
+    let ids: Vec<_> = servers
+        .candidates(&FILTER, &Request::default(), now)
+        .into_iter()
+        .map(|candidate| candidate.id)
+        .collect();
+    assert_eq!(ids, ["b".into()]);
+}
+
+#[test]
+fn own_requests_count_at_once_and_reports_fade() {
+    let mut servers = Servers::new("n".into(), "d".into());
+    let now = Time::from_millis(10_000);
+    servers.update(&[vm("a", false)]);
+    let load = Load {
+        running: 6,
+        waiting: 2,
+    };
+    servers.set_load("a", load, now);
+    servers.begin("a", &[]);
+    let at = |time| servers.get("a").unwrap().inflight(time);
+    assert_eq!(at(now), 9.0);
+    assert_eq!(at(now + Duration::from_millis(500)), 5.0);
+    servers.end("a");
+    assert_eq!(servers.get("a").unwrap().inflight(now), 8.0);
+}
+
+#[test]
+fn a_resting_server_comes_back() {
+    let mut servers = Servers::new("n".into(), "d".into());
+    let now = Time::from_millis(10_000);
+    servers.update(&[vm("a", false)]);
+    servers.record_failure("a", now);
+    assert!(!servers.has_usable("s", now));
+    let later = now + Duration::from_millis(500);
+    assert!(servers.has_usable("s", later));
+
+    // It rests longer each time, until an answer of it is good.
+    servers.record_failure("a", later);
+    assert!(!servers.has_usable("s", later + Duration::from_millis(999)));
+    assert!(servers.has_usable("s", later + Duration::from_millis(1_000)));
+    servers.record_success("a");
+    servers.record_failure("a", later);
+    assert!(servers.has_usable("s", later + Duration::from_millis(500)));
+}
