Test the system with real processes, and the contract of each interface

Cause: the promises were shown in one process only. Faults found: a new node had no neighbours for up to 500 ms, so a crash seen there was not told and a request took down four servers in place of two (links now follow every news of a member); the proxy stand-in dropped its control port. The matrix broke ReclaimServer+CrashingRequest once: an innocent request ran beside the crashing one on two servers. Suspected requests are now spread by their fingerprints over all nodes.

--- a/src/bin/cassialock-standin.rs
+++ b/src/bin/cassialock-standin.rs
@@ -63,7 +63,10 @@
                 .ok_or_else(|| std::io::Error::other("--target must be given for a proxy"))?;
             let proxy = standin::proxy::start(&flags.listen, &flags.control, &target).await?;
             println!("control {}", proxy.control.address);
-            proxy.proxy
+            println!("listening {}", proxy.proxy.address);
+            proxy.proxy.join().await;
+            proxy.control.join().await;
+            return Ok(());
         }
         other => {
             let text = format!("unknown stand-in {other:?}; see --help");
--- a/src/core/member/roster.rs
+++ b/src/core/member/roster.rs
@@ -190,13 +190,17 @@
         self.suspect_silent(now, &mut round);
         self.declare_gone(now, &mut round);
         self.forget_gone(now);
-        let links = links::of(&self.me.id, self.ring());
-        round.links = links
+        round.links = self.links();
+        round
+    }
+
+    /// Returns the neighbours that this node sends to.
+    pub fn links(&self) -> Vec<Member> {
+        links::of(&self.me.id, self.ring())
             .iter()
             .filter_map(|id| self.rows.get(id))
             .map(|row| row.member.clone())
-            .collect();
-        round
+            .collect()
     }
 
     /// Counts silence anew after a pause: what was not heard may be this node's fault.
--- a/src/node/backends/mod.rs
+++ b/src/node/backends/mod.rs
@@ -7,9 +7,12 @@
 use http::StatusCode;
 use http_body_util::Full;
 
+use crate::core;
 use crate::core::Name;
 use crate::core::config::Service;
 use crate::core::retry::Cause;
+use crate::core::retry::crash::Fingerprint;
+use crate::core::route::Candidate;
 use crate::core::route::Request as RouteRequest;
 use crate::core::route::servers::Filter;
 use crate::core::time::Time;
@@ -87,11 +90,12 @@
     pub avoid: &'a [Name],
     /// A random number drawn for the request; it decides on the version.
     pub draw: u64,
-    /// Whether the request may have taken down another server.
+    /// The request's fingerprint, if it may have taken down another server.
     ///
-    /// It then goes to a server that runs no other such request, so that the
-    /// next crash shows which of them is to blame.
-    pub is_suspect: bool,
+    /// It then goes to a server that runs no other such request of this node,
+    /// in an order that differs for each request, so that the next crash shows
+    /// which of them is to blame.
+    pub suspect: Option<Fingerprint>,
 }
 
 /// Chooses a server, or returns `None` if there is none.
@@ -109,7 +113,7 @@
                 version,
                 slots: choice.service.slots,
                 avoid,
-                alone: choice.is_suspect,
+                alone: choice.suspect.is_some(),
             };
             if let Some(chosen) = choose_of(node, &filter, choice, now) {
                 return Some(chosen);
@@ -122,12 +126,14 @@
 fn choose_of(node: &Node, filter: &Filter<'_>, choice: &Choice<'_>, now: Time) -> Option<Chosen> {
     let servers = node.servers.lock().unwrap();
     let candidates = servers.candidates(filter, choice.request, now);
-    let draw = node.draw();
-    let at = node
-        .policy
-        .lock()
-        .unwrap()
-        .choose(choice.request, &candidates, draw)?;
+    let at = match choice.suspect {
+        Some(suspect) => choose_apart(suspect, &candidates)?,
+        None => {
+            let draw = node.draw();
+            let mut policy = node.policy.lock().unwrap();
+            policy.choose(choice.request, &candidates, draw)?
+        }
+    };
     let id = &candidates[at].id;
     let vm = &servers.get(id)?.vm;
     Some(Chosen {
@@ -137,6 +143,12 @@
     })
 }
 
+/// Returns the candidate for a suspected request, which all nodes rank alike.
+fn choose_apart(suspect: Fingerprint, candidates: &[Candidate]) -> Option<usize> {
+    let rank = |at: &usize| core::hash(&[&suspect.0.to_string(), &candidates[*at].id]);
+    (0..candidates.len()).max_by_key(rank)
+}
+
 /// Asks a server over a new connection whether it lives.
 pub async fn is_alive(node: &Node, address: &str) -> bool {
     let request = Request::get(format!("http://{address}/health")).body(Full::default());
--- a/src/node/callers/llm.rs
+++ b/src/node/callers/llm.rs
@@ -328,7 +328,7 @@
                 request: &self.route,
                 avoid: &avoid,
                 draw: self.draw,
-                is_suspect,
+                suspect: is_suspect.then_some(self.fingerprint),
             };
             if let Some(chosen) = backends::choose(node, &choice) {
                 return Some(chosen);
--- a/src/node/callers/plain.rs
+++ b/src/node/callers/plain.rs
@@ -201,7 +201,7 @@
             request: &request,
             avoid: &self.tried,
             draw: node.draw(),
-            is_suspect: false,
+            suspect: None,
         };
         let server = backends::choose(node, &choice)?;
         let _seat = Seat::new(node, &server.id, &[]);
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -73,6 +73,11 @@
     node.links.lock().unwrap().clone()
 }
 
+fn set_links(node: &Node, links: &[Member]) {
+    let peers = links.iter().map(|member| member.peer.clone()).collect();
+    *node.links.lock().unwrap() = peers;
+}
+
 fn forward(node: &Arc<Node>, facts: Vec<Fact>) {
     for peer in links(node) {
         let node = Arc::clone(node);
@@ -88,6 +93,7 @@
 pub fn take_facts(node: &Arc<Node>, facts: &[Fact]) {
     let now = node.clock.now();
     let mut news = Vec::new();
+    let mut has_members = false;
     for fact in facts {
         let taken = node.gossip.lock().unwrap().take(fact, now);
         let Some(fact) = taken else { continue };
@@ -97,8 +103,13 @@
             news.extend(taken);
         }
         act_on(node, &fact);
+        has_members |= matches!(fact, Fact::Member(_));
         news.push(fact);
     }
+    if has_members {
+        let links = node.roster.lock().unwrap().links();
+        set_links(node, &links);
+    }
     if !news.is_empty() {
         forward(node, news);
     }
@@ -192,7 +203,7 @@
 }
 
 fn send_heartbeats(node: &Arc<Node>, round: &Round) {
-    *node.links.lock().unwrap() = round.links.iter().map(|m| m.peer.clone()).collect();
+    set_links(node, &round.links);
     let me = node.roster.lock().unwrap().me().clone();
     let digest = node.gossip.lock().unwrap().digest();
     let heartbeat = Heartbeat {
--- /dev/null
+++ b/tests/contract/cli.rs
@@ -0,0 +1,159 @@
+//! The operators' command line, as a process.
+
+use std::process::Command;
+use std::time::Duration;
+
+use cassialock::load::deploy::Deployment;
+use cassialock::load::deploy::Shape;
+
+struct Output {
+    code: i32,
+    out: String,
+    err: String,
+}
+
+fn run(node: &str, args: &[&str]) -> Output {
+    let output = Command::new(env!("CARGO_BIN_EXE_cassialock"))
+        .args(["--node", node])
+        .args(args)
+        .output()
+        .unwrap();
+    Output {
+        code: output.status.code().unwrap(),
+        out: String::from_utf8(output.stdout).unwrap(),
+        err: String::from_utf8(output.stderr).unwrap(),
+    }
+}
+
+fn file(name: &str, content: &str) -> String {
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, content).unwrap();
+    path.to_string_lossy().into_owned()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn commands_end_with_their_codes() {
+    let shape = Shape::hanul().with_engines(1).with_nodes(2);
+    let deployment = Deployment::start(shape).await.unwrap();
+    let node = deployment.entries().join(",");
+    let good = file(
+        "good.json",
+        r#"{"workspaces": {"extra": {"weight": 2, "tokens_per_s": 9}}}"#,
+    );
+    let bad = file(
+        "bad.json",
+        r#"{"workspaces": {"extra": {"weight": 0, "tokens_per_s": 9}}}"#,
+    );
+    let plain = file("plain.json", "weight: 2");
+    let cases: [(&[&str], i32, &str); 15] = [
+        (
+            &["config", "patch", "--base", "2", "--wait", &good],
+            0,
+            "number 3 is in force at 2 nodes",
+        ),
+        (
+            &["config", "patch", "--base", "2", &good],
+            0,
+            "was accepted before as number 3",
+        ),
+        (
+            &["config", "patch", "--base", "2", "--id", "x", &good],
+            5,
+            "use --base 3",
+        ),
+        (
+            &["config", "patch", "--base", "3", &bad],
+            4,
+            "workspaces.extra.weight: must be at least 1",
+        ),
+        (
+            &["config", "patch", "--base", "3", &plain],
+            2,
+            "expected value",
+        ),
+        (&["config", "patch", &good], 2, "--base: must be given"),
+        (
+            &["config", "patch", "--base", "3", "no-such-file"],
+            1,
+            "no-such-file",
+        ),
+        (&["config", "get"], 0, "number 3"),
+        (&["config", "history"], 0, "/workspaces/extra/weight"),
+        (&["entries", "printers"], 0, "FAILURE DOMAIN"),
+        (&["status"], 0, "cassia-pool-0"),
+        (&["move", "wait", "none"], 2, "no such move"),
+        (
+            &[
+                "move",
+                "start",
+                "m",
+                "--service",
+                "none",
+                "--to",
+                "v2",
+                "--within-s",
+                "5",
+                "--base",
+                "3",
+            ],
+            2,
+            "no service named none",
+        ),
+        (
+            &[
+                "move",
+                "start",
+                "m",
+                "--service",
+                "cassia-pool",
+                "--to",
+                "v2",
+                "--within-s",
+                "2",
+                "--base",
+                "3",
+            ],
+            0,
+            "number 4",
+        ),
+        (&["move", "wait", "m"], 3, "too few to judge"),
+    ];
+    for (args, code, text) in cases {
+        let output = run(&node, args);
+        let all = format!("{}{}", output.out, output.err);
+        assert_eq!(output.code, code, "{args:?}: {all}");
+        assert!(all.contains(text), "{args:?}: {all}");
+    }
+    let json = run(&node, &["--json", "status"]);
+    let value: serde_json::Value = serde_json::from_str(&json.out).unwrap();
+    assert_eq!(value["number"], 4);
+    assert_eq!(run("127.0.0.1:1", &["status"]).code, 6);
+    tokio::time::sleep(Duration::ZERO).await;
+}
+
+#[test]
+fn the_daemon_checks_its_settings() {
+    let check = |listen: &str| {
+        let output = Command::new(env!("CARGO_BIN_EXE_cassialockd"))
+            .args([
+                "--check",
+                "--id",
+                "n",
+                "--domain",
+                "d",
+                "--peer-listen",
+                "127.0.0.1:0",
+            ])
+            .args(["--platform", "127.0.0.1:1", "--listen", listen])
+            .output()
+            .unwrap();
+        (
+            output.status.code().unwrap(),
+            String::from_utf8(output.stderr).unwrap(),
+        )
+    };
+    assert_eq!(check("127.0.0.1:0"), (0, String::new()));
+    let (code, text) = check("here");
+    assert_eq!(code, 2);
+    assert!(text.contains("--listen: expected an IP number and port"));
+}
--- /dev/null
+++ b/tests/contract/main.rs
@@ -0,0 +1,6 @@
+//! Contracts of the interfaces: frames, the platform, settings, the command line.
+
+mod cli;
+mod frames;
+mod platform;
+mod settings;
--- /dev/null
+++ b/tests/contract/platform.rs
@@ -0,0 +1,130 @@
+//! The platform's API as the node's client and the stand-in understand it.
+
+use std::time::Duration;
+
+use cassialock::load::caller;
+use cassialock::node::platform::Condition;
+use cassialock::node::platform::Platform;
+use cassialock::node::platform::Unavailable;
+use cassialock::node::platform::WriteError;
+use cassialock::node::platform::remote::Remote;
+use cassialock::standin::Standin;
+use cassialock::standin::platform;
+use cassialock::standin::platform::Counts;
+use cassialock::standin::platform::Faults;
+use cassialock::web::client::Client;
+
+async fn start() -> (Standin, Remote) {
+    let standin = platform::start("127.0.0.1:0").await.unwrap();
+    let remote = Remote::new(standin.address);
+    (standin, remote)
+}
+
+async fn set(standin: &Standin, faults: &Faults) {
+    let address = standin.address.to_string();
+    let answer = caller::post(&Client::new(), &address, "/control", faults).await;
+    assert!(answer.unwrap().0.is_success());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn conditions_decide_on_writes() {
+    let (_standin, remote) = start().await;
+    let put = |condition| remote.put("a/b", "x".into(), condition);
+    assert_eq!(remote.get("a/b").await, Ok(None));
+    let version = put(Condition::Absent).await.unwrap();
+    assert_eq!(put(Condition::Absent).await, Err(WriteError::Conflict));
+    assert_eq!(
+        put(Condition::Version(version + 9)).await,
+        Err(WriteError::Conflict)
+    );
+    let next = put(Condition::Version(version)).await.unwrap();
+    assert!(next > version);
+    assert_eq!(remote.get("a/b").await.unwrap().unwrap().version, next);
+    assert_eq!(remote.list("a/").await.unwrap().events.len(), 1);
+    assert_eq!(remote.list("b/").await.unwrap().events.len(), 0);
+    remote.delete("a/b").await.unwrap();
+    assert_eq!(remote.get("a/b").await, Ok(None));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn watches_end_with_a_change_or_with_time() {
+    let (_standin, remote) = start().await;
+    let long = Duration::from_secs(10);
+    let watching = remote.watch("k", 0, long);
+    let writing = async {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        remote
+            .put("k", "x".into(), Condition::Absent)
+            .await
+            .unwrap()
+    };
+    let (events, version) = tokio::join!(watching, writing);
+    let events = events.unwrap();
+    assert_eq!(
+        (events.revision, events.events[0].version),
+        (version, version)
+    );
+    let quiet = remote
+        .watch("k", events.revision, Duration::from_millis(20))
+        .await;
+    assert!(quiet.unwrap().events.is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn outages_are_told_apart_from_answers() {
+    let (standin, remote) = start().await;
+    remote
+        .put("k", "x".into(), Condition::Absent)
+        .await
+        .unwrap();
+    set(
+        &standin,
+        &Faults {
+            down: true,
+            ..Faults::default()
+        },
+    )
+    .await;
+    assert_eq!(remote.get("k").await, Err(Unavailable));
+    let write = remote.put("k", "y".into(), Condition::Version(1)).await;
+    assert_eq!(write, Err(WriteError::Unavailable));
+    set(
+        &standin,
+        &Faults {
+            lose_every: 1,
+            ..Faults::default()
+        },
+    )
+    .await;
+    let write = remote.put("k", "z".into(), Condition::Version(1)).await;
+    assert_eq!(write, Err(WriteError::Unavailable));
+    assert_eq!(
+        remote.get("k").await.unwrap().unwrap().value,
+        "z",
+        "the write took effect"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn every_call_is_counted() {
+    let (standin, remote) = start().await;
+    remote
+        .put("k", "x".into(), Condition::Absent)
+        .await
+        .unwrap();
+    remote.get("k").await.unwrap();
+    remote.watch("k", 0, Duration::ZERO).await.unwrap();
+    remote.vms(0).await.unwrap();
+    let address = standin.address.to_string();
+    let counts: Counts = caller::get(&Client::new(), &address, "/counts")
+        .await
+        .unwrap();
+    let expected = Counts {
+        reads: 1,
+        writes: 1,
+        watches: 1,
+        cloud: 1,
+        weights: 0,
+    };
+    assert_eq!(counts, expected);
+}
