--- a/src/bin/cassialock-load.rs
+++ b/src/bin/cassialock-load.rs
@@ -1,11 +1,19 @@
 //! The load and experiment tool.
 
 use std::process::ExitCode;
+use std::time::Duration;
 
 use cassialock::cli::table;
+use cassialock::core::route::PolicyKind;
+use cassialock::load::deploy::Shape;
 use cassialock::load::matrix;
 use cassialock::load::matrix::Case;
 use cassialock::load::matrix::Report;
+use cassialock::load::moves;
+use cassialock::load::moves::Figures;
+use cassialock::load::run;
+use cassialock::load::run::Plan;
+use cassialock::load::slopes;
 use gumdrop::Options;
 use tokio::task::JoinSet;
 
@@ -21,6 +29,60 @@
 enum Command {
     #[options(help = "bring about the table of faults and check the promises")]
     Matrix(MatrixFlags),
+    #[options(help = "play seeded version moves of every kind")]
+    Moves(MovesFlags),
+    #[options(help = "measure how state, messages and processor time grow")]
+    Slopes(JsonFlags),
+    #[options(help = "send an open-loop load with each routing policy")]
+    Compare(CompareFlags),
+    #[options(help = "measure what a node adds to each request")]
+    Overhead(JsonFlags),
+}
+
+#[derive(Debug, Options)]
+struct JsonFlags {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(no_short, help = "print JSON")]
+    json: bool,
+}
+
+#[derive(Debug, Options)]
+struct MovesFlags {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(no_short, help = "moves of each kind", meta = "N", default = "1000")]
+    count: u64,
+    #[options(no_short, help = "print JSON")]
+    json: bool,
+}
+
+#[derive(Debug, Options)]
+struct CompareFlags {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(
+        no_short,
+        help = "copa-alta or hanul",
+        meta = "NAME",
+        default = "hanul"
+    )]
+    deployment: String,
+    #[options(no_short, help = "requests a second", meta = "N", default = "120")]
+    rate: f64,
+    #[options(
+        no_short,
+        help = "seconds of load for each policy",
+        meta = "N",
+        default = "10"
+    )]
+    seconds: u64,
+    #[options(no_short, help = "seed of the arrivals", meta = "N", default = "1")]
+    seed: u64,
+    #[options(no_short, help = "only this policy", meta = "POLICY")]
+    policy: Option<PolicyKind>,
+    #[options(no_short, help = "print JSON")]
+    json: bool,
 }
 
 #[derive(Debug, Options)]
@@ -50,6 +112,10 @@
     };
     let is_good = match &flags.command {
         Some(Command::Matrix(matrix)) => runtime.block_on(run_matrix(matrix)),
+        Some(Command::Moves(moves)) => run_moves(moves),
+        Some(Command::Slopes(slopes)) => run_slopes(slopes.json),
+        Some(Command::Compare(compare)) => runtime.block_on(run_compare(compare)),
+        Some(Command::Overhead(overhead)) => runtime.block_on(run_overhead(overhead.json)),
         None => {
             eprintln!("cassialock-load: no command given; see --help");
             return ExitCode::from(2);
@@ -110,10 +176,7 @@
 
 fn print_matrix(reports: &[Report], is_json: bool) {
     if is_json {
-        match serde_json::to_string_pretty(reports) {
-            Ok(text) => println!("{text}"),
-            Err(e) => eprintln!("cassialock-load: {e}"),
-        }
+        print_json(reports);
         return;
     }
     let rows: Vec<Vec<String>> = matrix::PROMISES
@@ -139,3 +202,198 @@
         sum(|r| r.patches),
     );
 }
+
+fn print_json<T: serde::Serialize + ?Sized>(value: &T) {
+    match serde_json::to_string_pretty(value) {
+        Ok(text) => println!("{text}"),
+        Err(e) => eprintln!("cassialock-load: {e}"),
+    }
+}
+
+/// Parts of the moves of a kind that must end as they should, of 100.
+const fn target_of(kind: moves::Kind) -> u64 {
+    match kind {
+        moves::Kind::Good | moves::Kind::GoodNoisy | moves::Kind::GoodSlower => 99,
+        _ => 100,
+    }
+}
+
+fn run_moves(flags: &MovesFlags) -> bool {
+    let figures: Vec<Figures> = std::thread::scope(|scope| {
+        let playing: Vec<_> = moves::KINDS
+            .iter()
+            .map(|kind| scope.spawn(|| moves::play(*kind, flags.count)))
+            .collect();
+        // A move that panics is a fault of the tool and ends it.
+        playing
+            .into_iter()
+            .filter_map(|handle| handle.join().ok())
+            .collect()
+    });
+    let is_good =
+        |f: &Figures| f.right * 100 >= target_of(f.kind) * f.moves && f.stop_ms_worst <= 2_000;
+    if flags.json {
+        print_json(&figures);
+    } else {
+        let rows: Vec<Vec<String>> = figures
+            .iter()
+            .map(|f| {
+                vec![
+                    format!("{:?}", f.kind),
+                    format!("{} of {}", f.right, f.moves),
+                    format!("{} %", target_of(f.kind)),
+                    f.in_time.to_string(),
+                    format!("{:.1}", f.lost_mean),
+                    format!("{} %", f.share_at_fault),
+                    format!("{} ms", f.stop_ms_worst),
+                ]
+            })
+            .collect();
+        let heading = [
+            "NEW VERSION",
+            "ENDED RIGHT",
+            "TARGET",
+            "IN TIME",
+            "FAILED",
+            "SHARE AT FAULT",
+            "VETO TO NO TRAFFIC",
+        ];
+        table::print(&heading, &rows);
+    }
+    figures.len() == moves::KINDS.len() && figures.iter().all(is_good)
+}
+
+fn run_slopes(is_json: bool) -> bool {
+    let slopes = slopes::measure();
+    if is_json {
+        print_json(&slopes);
+        return true;
+    }
+    let rows: Vec<Vec<String>> = slopes
+        .iter()
+        .map(|slope| {
+            vec![
+                slope.name.to_string(),
+                format!("{:.3}", slope.fit.base),
+                format!("{:.6} per {}", slope.fit.slope, slope.per),
+                format!("{:.3}", slope.fit.r2),
+                format!("{:.0}", slope.size),
+                format!("{:.3}", slope.predicted),
+                (if slope.is_time { "machine" } else { "exact" }).to_string(),
+            ]
+        })
+        .collect();
+    table::print(
+        &["WHAT", "BASE", "SLOPE", "R2", "AT", "PREDICTED", "VALUE"],
+        &rows,
+    );
+    true
+}
+
+const POLICIES: [PolicyKind; 4] = [
+    PolicyKind::RoundRobin,
+    PolicyKind::LeastLoaded,
+    PolicyKind::TwoChoices,
+    PolicyKind::Scored,
+];
+
+async fn run_compare(flags: &CompareFlags) -> bool {
+    let plan = Plan {
+        rate: flags.rate,
+        span: Duration::from_secs(flags.seconds),
+        seed: flags.seed,
+        customers: 40,
+    };
+    let mut rows = Vec::new();
+    let mut outcomes = Vec::new();
+    for policy in POLICIES {
+        if flags.policy.is_some_and(|only| only != policy) {
+            continue;
+        }
+        let shape = match flags.deployment.as_str() {
+            "copa-alta" => Shape::copa_alta(),
+            _ => Shape::hanul(),
+        };
+        let outcome = match run::run(shape.with_policy(policy), &plan).await {
+            Ok(outcome) => outcome,
+            Err(e) => {
+                eprintln!("cassialock-load: {e}");
+                return false;
+            }
+        };
+        let part = outcome.prefilled as f64 / outcome.prompt_tokens.max(1) as f64;
+        rows.push(vec![
+            policy.to_string(),
+            outcome.sent.to_string(),
+            outcome.whole.to_string(),
+            outcome.good.to_string(),
+            format!("{:.1}", outcome.first_p50_ms),
+            format!("{:.1}", outcome.first_p95_ms),
+            format!("{:.1}", outcome.first_p99_ms),
+            format!("{:.1} %", part * 100.0),
+            format!("{:.2}", outcome.cost),
+        ]);
+        outcomes.push((policy.as_str(), outcome));
+    }
+    if flags.json {
+        print_json(&outcomes);
+    } else {
+        let heading = [
+            "POLICY",
+            "SENT",
+            "WHOLE",
+            "GOOD",
+            "P50 MS",
+            "P95 MS",
+            "P99 MS",
+            "PROMPT COMPUTED",
+            "CENTS PER 1000 GOOD",
+        ];
+        table::print(&heading, &rows);
+    }
+    outcomes
+        .iter()
+        .all(|(_, outcome)| outcome.endings.get("wrong").is_none())
+}
+
+async fn run_overhead(is_json: bool) -> bool {
+    let overhead = match run::overhead().await {
+        Ok(overhead) => overhead,
+        Err(e) => {
+            eprintln!("cassialock-load: {e}");
+            return false;
+        }
+    };
+    if is_json {
+        print_json(&overhead);
+        return true;
+    }
+    let row = |name: &str, value: f64| vec![name.to_string(), format!("{value:.3}")];
+    let rows = [
+        row(
+            "first token straight from the engine, p50 ms",
+            overhead.direct_p50_ms,
+        ),
+        row(
+            "first token straight from the engine, p99 ms",
+            overhead.direct_p99_ms,
+        ),
+        row("first token through a node, p50 ms", overhead.node_p50_ms),
+        row("first token through a node, p99 ms", overhead.node_p99_ms),
+        row(
+            "added at p50, ms",
+            overhead.node_p50_ms - overhead.direct_p50_ms,
+        ),
+        row(
+            "added at p99, ms",
+            overhead.node_p99_ms - overhead.direct_p99_ms,
+        ),
+        row("plain calls a second through a node", overhead.calls_per_s),
+        row(
+            "memory for each open stream, KiB",
+            overhead.stream_bytes / 1024.0,
+        ),
+    ];
+    table::print(&["WHAT", "VALUE"], &rows);
+    true
+}
--- a/src/core/route/servers.rs
+++ b/src/core/route/servers.rs
@@ -120,12 +120,22 @@
     }
 }
 
+/// This node's candidates for each version of a service.
+type Subsets = Table<Vec<Name>>;
+
 /// The backend servers of all services, as seen from one node.
+///
+/// # Invariants
+///
+/// `subsets` holds, by service and version, the candidates among the servers
+/// of `rows` that are not leaving. They change only with the list and with
+/// notices, so a choice looks at the candidates alone.
 #[derive(Debug)]
 pub struct Servers {
     node: Name,
     domain: Name,
     rows: Table<Server>,
+    subsets: Table<Subsets>,
 }
 
 impl Servers {
@@ -135,6 +145,7 @@
             node,
             domain,
             rows: Table::new(),
+            subsets: Table::new(),
         }
     }
 
@@ -155,21 +166,64 @@
                 }
             }
         }
+        let mut listed: Vec<&Name> = list.iter().map(|vm| &vm.id).collect();
+        listed.sort_unstable();
         self.rows.retain(|id, server| {
-            let listed = list.iter().any(|vm| vm.id == *id);
-            if !listed {
-                server.leaving = true;
-            }
-            listed || server.own > 0
+            let is_listed = listed.binary_search(&id).is_ok();
+            server.leaving |= !is_listed;
+            is_listed || server.own > 0
         });
+        self.rebuild();
+    }
+
+    /// Computes the candidates of every service and version anew.
+    fn rebuild(&mut self) {
+        let mut groups: Table<Table<Vec<subset::Placed>>> = Table::new();
+        for server in self.iter().filter(|server| !server.leaving) {
+            groups
+                .get_or_insert_with(&server.vm.service, Table::new)
+                .get_or_insert_with(&server.vm.version, Vec::new)
+                .push(subset::Placed {
+                    id: server.vm.id.clone(),
+                    domain: server.vm.domain.clone(),
+                });
+        }
+        let pick =
+            |items: &Vec<subset::Placed>| subset::pick(&self.node, items, subset::MAX_CANDIDATES);
+        let pick_all = |versions: &Table<Vec<subset::Placed>>| -> Subsets {
+            let picked = versions
+                .iter()
+                .map(|(name, items)| (name.clone(), pick(items)));
+            picked.collect()
+        };
+        let subsets = groups
+            .iter()
+            .map(|(name, versions)| (name.clone(), pick_all(versions)))
+            .collect();
+        // INVARIANT: every change of the list or of `leaving` ends here.
+        self.subsets = subsets;
+    }
+
+    /// Iterates over this node's candidates for all versions of a service.
+    fn of_service(&self, service: &str) -> impl Iterator<Item = &Server> {
+        self.subsets
+            .get(service)
+            .into_iter()
+            .flat_map(|versions| versions.iter())
+            .flat_map(|(_, ids)| ids)
+            .filter_map(|id| self.rows.get(id))
     }
 
     /// Marks a server as leaving; it gets no new work from now on.
     pub fn set_leaving(&mut self, id: &str) -> bool {
-        match self.rows.get_mut(id) {
-            Some(server) => !std::mem::replace(&mut server.leaving, true),
-            None => false,
+        let was_set = match self.rows.get_mut(id) {
+            Some(server) => std::mem::replace(&mut server.leaving, true),
+            None => return false,
+        };
+        if !was_set {
+            self.rebuild();
         }
+        !was_set
     }
 
     /// Keeps new work from a server for a time that doubles with each failure
@@ -253,20 +307,11 @@
     }
 
     /// Returns the names of this node's candidates for one version of a service.
-    pub fn subset(&self, service: &str, version: &str) -> Vec<Name> {
-        let items: Vec<subset::Placed> = self
-            .iter()
-            .filter(|server| *server.vm.service == *service && *server.vm.version == *version)
-            .filter(|server| !server.leaving)
-            .map(|server| subset::Placed {
-                id: server.vm.id.clone(),
-                domain: server.vm.domain.clone(),
-            })
-            .collect();
-        if items.len() <= subset::MAX_CANDIDATES {
-            return items.into_iter().map(|item| item.id).collect();
-        }
-        subset::pick(&self.node, &items, subset::MAX_CANDIDATES)
+    pub fn subset(&self, service: &str, version: &str) -> &[Name] {
+        self.subsets
+            .get(service)
+            .and_then(|versions| versions.get(version))
+            .map_or(&[], Vec::as_slice)
     }
 
     /// Returns the candidates for a request, without those in `avoid`.
@@ -296,12 +341,11 @@
             .collect()
     }
 
-    /// Returns how many more requests the usable servers of a service can take.
+    /// Returns how many more requests this node's candidates of a service can take.
     pub fn room(&self, service: &str, slots: u32, now: Time) -> u32 {
         let limit = f64::from(slots) * SLOT_FACTOR;
         let all_rest = !self.has_usable(service, now);
-        self.iter()
-            .filter(|server| *server.vm.service == *service && !server.leaving)
+        self.of_service(service)
             .filter(|server| all_rest || server.is_usable(now))
             .map(|server| (limit - server.inflight(now)).max(0.0).floor() as u32)
             .sum()
@@ -309,8 +353,7 @@
 
     /// Returns whether a service has a server that may take work.
     pub fn has_usable(&self, service: &str, now: Time) -> bool {
-        self.iter()
-            .any(|server| *server.vm.service == *service && server.is_usable(now))
+        self.of_service(service).any(|server| server.is_usable(now))
     }
 }
 
--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -2,5 +2,9 @@
 
 pub mod caller;
 pub mod deploy;
+pub mod fit;
 pub mod matrix;
+pub mod moves;
+pub mod run;
+pub mod slopes;
 pub mod texts;
--- /dev/null
+++ b/src/load/run.rs
@@ -0,0 +1,365 @@
+//! Open-loop load on a deployment, and what a node adds to each request.
+
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use http::Request;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use serde::Serialize;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+use crate::core::table::Table;
+use crate::error::Error;
+use crate::load::caller;
+use crate::load::caller::Caller;
+use crate::load::caller::Ending;
+use crate::load::caller::Seen;
+use crate::load::deploy::Deployment;
+use crate::load::deploy::Shape;
+use crate::load::texts;
+use crate::load::texts::Ask;
+use crate::load::texts::Kind;
+use crate::standin::engine;
+
+/// Time that callers wait for an answer.
+const DEADLINE: Duration = Duration::from_secs(10);
+
+/// Target for the time to the first token.
+const TARGET: Duration = Duration::from_millis(450);
+
+/// Price of one VM of each class for an hour, in cents, in the mean.
+const RECLAIMABLE_PRICE: f64 = 65.0;
+
+/// Price of one on-demand VM for an hour, in cents, in the mean.
+const ON_DEMAND_PRICE: f64 = 200.0;
+
+/// Requests measured one after the other for the added latency.
+const PROBES: usize = 400;
+
+/// An open-loop load.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    /// Requests a second.
+    pub rate: f64,
+    /// Time for which requests are sent.
+    pub span: Duration,
+    /// Seed of the arrivals and the mix.
+    pub seed: u64,
+    /// Customers, each with a prompt prefix of its own.
+    pub customers: usize,
+}
+
+/// What a load gave.
+#[derive(Clone, Debug, Serialize)]
+pub struct Outcome {
+    /// Requests sent.
+    pub sent: u64,
+    /// Requests answered whole.
+    pub whole: u64,
+    /// Requests whose first token came within the target.
+    pub good: u64,
+    /// Endings other than whole, with their counts.
+    pub endings: Table<u64>,
+    /// Middle time to the first token, in milliseconds.
+    pub first_p50_ms: f64,
+    /// Time to the first token for 95 in 100, in milliseconds.
+    pub first_p95_ms: f64,
+    /// Time to the first token for 99 in 100, in milliseconds.
+    pub first_p99_ms: f64,
+    /// Prompt tokens sent.
+    pub prompt_tokens: u64,
+    /// Prompt tokens that engines computed.
+    pub prefilled: u64,
+    /// Cost of the servers for a thousand good answers, in cents.
+    pub cost: f64,
+}
+
+/// Runs a load on a new deployment of `shape`.
+///
+/// # Errors
+///
+/// Returns an error if the deployment did not start.
+pub async fn run(shape: Shape, plan: &Plan) -> Result<Outcome, Error> {
+    let deployment = Deployment::start(shape).await?;
+    let mut callers = Vec::new();
+    for (at, workspace) in deployment.shape.workspaces.iter().enumerate() {
+        let mut caller = deployment.caller(workspace.0, at);
+        caller.refresh().await;
+        callers.push(caller);
+    }
+    let before = prefilled(&deployment).await;
+    let (seen, prompt_tokens) = send_all(&deployment, &callers, plan).await;
+    let after = prefilled(&deployment).await;
+    let outcome = summarize(&deployment, plan, &seen, prompt_tokens, after - before);
+    deployment.stop().await;
+    Ok(outcome)
+}
+
+async fn send_all(deployment: &Deployment, callers: &[Caller], plan: &Plan) -> (Vec<Seen>, u64) {
+    let mut rng = SmallRng::seed_from_u64(plan.seed);
+    let mut open = JoinSet::new();
+    let mut next = Instant::now();
+    let end = next + plan.span;
+    let mut prompt_tokens = 0;
+    let mut at = 0;
+    while next < end {
+        tokio::time::sleep_until(next).await;
+        // A large customer sends half of the requests.
+        let customer = if rng.random_bool(0.5) {
+            0
+        } else {
+            rng.random_range(0..plan.customers)
+        };
+        let body = texts::chat_body(&Ask {
+            model: deployment.shape.model,
+            kind: if rng.random_bool(0.5) {
+                Kind::Survey
+            } else {
+                Kind::Label
+            },
+            at,
+            customer,
+            max_tokens: rng.random_range(10..60),
+            stream: true,
+        });
+        prompt_tokens += body.split(|byte| *byte == b' ').count() as u64;
+        let caller = callers[customer % callers.len()].clone();
+        open.spawn(async move { caller.complete(&body, DEADLINE, None).await });
+        let gap = -(1.0 - rng.random::<f64>()).ln() / plan.rate;
+        next += Duration::from_secs_f64(gap);
+        at += 1;
+    }
+    let mut seen = Vec::new();
+    while let Some(Ok(one)) = open.join_next().await {
+        seen.push(one);
+    }
+    (seen, prompt_tokens)
+}
+
+/// Returns the prompt tokens that all engines have computed.
+async fn prefilled(deployment: &Deployment) -> u64 {
+    let mut total = 0;
+    for server in deployment.servers_of(deployment.shape.model, "v1") {
+        let address = deployment.address_of(&server).unwrap_or_default();
+        let client = &deployment.client;
+        let counts = caller::get::<engine::Counts>(client, &address, "/counts").await;
+        total += counts.map_or(0, |counts| counts.prefilled);
+    }
+    total
+}
+
+/// Returns a histogram of microseconds.
+fn histogram(times: impl Iterator<Item = Duration>) -> Histogram<u64> {
+    // Three digits fit any span, so the histogram can always be made.
+    let mut histogram = Histogram::<u64>::new(3).unwrap_or_else(|_| unreachable!());
+    for time in times {
+        histogram.saturating_record(time.as_micros() as u64);
+    }
+    histogram
+}
+
+fn quantile_ms(histogram: &Histogram<u64>, quantile: f64) -> f64 {
+    histogram.value_at_quantile(quantile) as f64 / 1_000.0
+}
+
+fn summarize(
+    deployment: &Deployment,
+    plan: &Plan,
+    seen: &[Seen],
+    prompt_tokens: u64,
+    prefilled: u64,
+) -> Outcome {
+    let mut endings: Table<u64> = Table::new();
+    for one in seen {
+        let name = match &one.ending {
+            Ending::Whole => continue,
+            Ending::Refused { reason, .. } => format!("refused {reason}"),
+            Ending::Wrong(_) => "wrong".to_string(),
+            Ending::Lost(_) => "lost".to_string(),
+        };
+        *endings.get_or_insert_with(&name.as_str().into(), || 0) += 1;
+    }
+    let is_whole = |one: &&Seen| one.ending == Ending::Whole;
+    let whole = seen.iter().filter(is_whole).count() as u64;
+    let in_target = |one: &&Seen| one.first.is_some_and(|first| first <= TARGET);
+    let good = seen.iter().filter(is_whole).filter(in_target).count() as u64;
+    let first = histogram(seen.iter().filter_map(|one| one.first));
+    let hours = plan.span.as_secs_f64() / 3_600.0;
+    let engines = deployment.shape.engines;
+    let on_demand = engines.div_ceil(3) as f64;
+    let price = on_demand * ON_DEMAND_PRICE + (engines as f64 - on_demand) * RECLAIMABLE_PRICE;
+    Outcome {
+        sent: seen.len() as u64,
+        whole,
+        good,
+        endings,
+        first_p50_ms: quantile_ms(&first, 0.50),
+        first_p95_ms: quantile_ms(&first, 0.95),
+        first_p99_ms: quantile_ms(&first, 0.99),
+        prompt_tokens,
+        prefilled,
+        cost: price * hours / (good as f64 / 1_000.0).max(f64::MIN_POSITIVE),
+    }
+}
+
+/// What a node adds to each request.
+#[derive(Clone, Debug, Serialize)]
+pub struct Overhead {
+    /// Middle time to the first token straight from an engine, in milliseconds.
+    pub direct_p50_ms: f64,
+    /// Time to the first token straight from an engine for 99 in 100, in milliseconds.
+    pub direct_p99_ms: f64,
+    /// Middle time to the first token through a node, in milliseconds.
+    pub node_p50_ms: f64,
+    /// Time to the first token through a node for 99 in 100, in milliseconds.
+    pub node_p99_ms: f64,
+    /// Calls of a plain service a second through one node.
+    pub calls_per_s: f64,
+    /// Memory for each open stream at the node, in bytes.
+    pub stream_bytes: f64,
+}
+
+/// Measures what a node adds to each request.
+///
+/// # Errors
+///
+/// Returns an error if the deployment did not start.
+pub async fn overhead() -> Result<Overhead, Error> {
+    let mut shape = Shape::hanul().with_engines(1).with_nodes(1);
+    shape.costs.step_us = 1_000;
+    shape.costs.request_us = 0;
+    shape.costs.max_batch = 4_096;
+    let deployment = Deployment::start(shape).await?;
+    let engine = deployment.backends[0].vm.address.to_string();
+    let node = deployment.entries()[0].clone();
+    let mut direct = Vec::new();
+    let mut through = Vec::new();
+    // In turn, so that a busy machine slows both alike.
+    for at in 0..PROBES {
+        direct.extend(first_token(&deployment, &engine, at).await);
+        through.extend(first_token(&deployment, &node, at).await);
+    }
+    let direct = histogram(direct.into_iter());
+    let through = histogram(through.into_iter());
+    let calls_per_s = flood(&deployment, &node).await;
+    let stream_bytes = stream_memory(&deployment, &engine, &node).await;
+    let overhead = Overhead {
+        direct_p50_ms: quantile_ms(&direct, 0.50),
+        direct_p99_ms: quantile_ms(&direct, 0.99),
+        node_p50_ms: quantile_ms(&through, 0.50),
+        node_p99_ms: quantile_ms(&through, 0.99),
+        calls_per_s,
+        stream_bytes,
+    };
+    deployment.stop().await;
+    Ok(overhead)
+}
+
+fn stream_request(
+    address: &str,
+    at: usize,
+    max_tokens: u32,
+) -> Option<Request<Full<bytes::Bytes>>> {
+    let body = texts::chat_body(&Ask {
+        model: "cassia-pool",
+        kind: Kind::Label,
+        at: 0,
+        customer: 0,
+        max_tokens,
+        stream: true,
+    });
+    Request::post(format!("http://{address}{}", texts::chat_path()))
+        .header("cassialock-workspace", "printers")
+        .header("x-request-id", format!("probe-{at}"))
+        .body(Full::new(body.into()))
+        .ok()
+}
+
+async fn first_token(deployment: &Deployment, address: &str, at: usize) -> Option<Duration> {
+    let request = stream_request(address, at, 2)?;
+    let began = Instant::now();
+    let response = deployment
+        .client
+        .send(request, false, DEADLINE)
+        .await
+        .ok()?;
+    let mut body = response.into_body();
+    body.frame().await?.ok()?;
+    let first = began.elapsed();
+    // The rest is read so that the connection can be used again.
+    let _ = body.collect().await;
+    Some(first)
+}
+
+/// Calls a plain service from many callers at once and returns the rate.
+async fn flood(deployment: &Deployment, node: &str) -> f64 {
+    const CALLERS: usize = 32;
+    const SPAN: Duration = Duration::from_secs(3);
+    let began = Instant::now();
+    let mut open = JoinSet::new();
+    for _ in 0..CALLERS {
+        let client = deployment.client.clone();
+        let url = format!("http://{node}/services/{}/status", deployment.shape.portal);
+        open.spawn(async move {
+            let mut done = 0_u64;
+            while began.elapsed() < SPAN {
+                let request = Request::get(&url)
+                    .header("cassialock-workspace", "printers")
+                    .body(Full::default());
+                let Ok(request) = request else { break };
+                let Ok(response) = client.send(request, false, DEADLINE).await else {
+                    break;
+                };
+                let is_good = response.status().is_success();
+                let _ = response.into_body().collect().await;
+                done += u64::from(is_good);
+            }
+            done
+        });
+    }
+    let mut total = 0;
+    while let Some(Ok(done)) = open.join_next().await {
+        total += done;
+    }
+    total as f64 / began.elapsed().as_secs_f64()
+}
+
+/// Opens many streams straight and through the node, and compares the memory.
+async fn stream_memory(deployment: &Deployment, engine: &str, node: &str) -> f64 {
+    const STREAMS: usize = 500;
+    let mut used = Vec::new();
+    for address in [engine, node] {
+        let before = resident_bytes();
+        let mut held = Vec::new();
+        for at in 0..STREAMS {
+            let Some(request) = stream_request(address, at, 30_000) else {
+                continue;
+            };
+            if let Ok(response) = deployment.client.send(request, true, DEADLINE).await {
+                let mut body = response.into_body();
+                let _ = body.frame().await;
+                held.push(body);
+            }
+        }
+        used.push((resident_bytes() - before) / held.len().max(1) as f64);
+        drop(held);
+        tokio::time::sleep(Duration::from_millis(500)).await;
+    }
+    (used[1] - used[0]).max(0.0)
+}
+
+/// Returns the resident memory of this process, in bytes.
+pub fn resident_bytes() -> f64 {
+    const PAGE_BYTES: f64 = 4_096.0;
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text
+        .split(' ')
+        .nth(1)
+        .and_then(|pages| pages.parse::<f64>().ok());
+    pages.unwrap_or(0.0) * PAGE_BYTES
+}
--- a/src/node/backends/engine.rs
+++ b/src/node/backends/engine.rs
@@ -26,6 +26,7 @@
 use crate::core::config::Service;
 use crate::core::limit::Priority;
 use crate::core::retry::Cause;
+use crate::core::route::servers::Load;
 use crate::core::time::Time;
 use crate::node::Node;
 use crate::node::backends::Chosen;
@@ -143,6 +144,7 @@
             }
             Wake::Ended(outcome) => return outcome,
         };
+        self.take_load(response.headers());
         match response.status() {
             StatusCode::OK => self.read(response.into_body(), first_limit).await,
             StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
@@ -157,6 +159,19 @@
         }
     }
 
+    /// Takes over the load that the engine reports with its answer.
+    fn take_load(&self, headers: &http::HeaderMap) {
+        let number = |name| -> Option<u32> { headers.get(name)?.to_str().ok()?.parse().ok() };
+        let running = number("x-load-running");
+        let waiting = number("x-load-waiting");
+        if let Some((running, waiting)) = running.zip(waiting) {
+            let load = Load { running, waiting };
+            let now = self.node.clock.now();
+            let mut servers = self.node.servers.lock().unwrap();
+            servers.set_load(&self.attempt.server.id, load, now);
+        }
+    }
+
     /// Returns the longest wait for the first token.
     fn first_limit(&self) -> Duration {
         let first = Duration::from_millis(u64::from(self.attempt.service.first_ms));
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -24,6 +24,7 @@
 use crate::node::peers::Call;
 use crate::node::peers::PartText;
 use crate::node::platform::Condition;
+use crate::node::platform::Events;
 use crate::node::platform::Unavailable;
 use crate::node::platform::WriteError;
 use crate::node::platform::remote;
@@ -37,6 +38,9 @@
 /// Wait between two reads of a node that is not a relay.
 const FALLBACK_WAIT: Duration = Duration::from_secs(10);
 
+/// Time for a delta to come from a neighbour before the store is read.
+const DELTA_WAIT: Duration = Duration::from_millis(300);
+
 /// Tries to store a patch before the store counts as unavailable.
 const PATCH_TRIES: usize = 4;
 
@@ -47,6 +51,8 @@
     pub head: Head,
     /// The typed configuration.
     pub config: Config,
+    /// Version of the head object that this configuration was stored as.
+    pub version: u64,
     parts: Table<Arc<str>>,
 }
 
@@ -88,12 +94,13 @@
         if let Some(delta) = current.head.delta(have) {
             let keys: Vec<Name> = delta.set.iter().map(|(_, key)| key.clone()).collect();
             let parts = self.parts(&keys);
-            return Answer::Delta(delta, parts);
+            return Answer::Delta(delta, parts, current.version);
         }
         if current.head.number == 0 {
-            return Answer::Head(String::new());
+            return Answer::Head(String::new(), 0);
         }
-        Answer::Head(serde_json::to_string(&current.head).unwrap_or_default())
+        let text = serde_json::to_string(&current.head).unwrap_or_default();
+        Answer::Head(text, current.version)
     }
 
     /// Returns parts for another node.
@@ -121,7 +128,7 @@
     }
 
     /// Puts a configuration in force, unless one with a higher number is.
-    fn install(&self, head: Head, fetched: Vec<PartText>) -> Result<bool, TakeError> {
+    fn install(&self, head: Head, fetched: Vec<PartText>, version: u64) -> Result<bool, TakeError> {
         let _installing = self.installing.lock().unwrap();
         let current = self.current.load_full();
         if head.number <= current.head.number {
@@ -147,6 +154,7 @@
         self.current.store(Arc::new(Installed {
             head,
             config,
+            version,
             parts,
         }));
         Ok(true)
@@ -190,14 +198,14 @@
 ///
 /// Returns [`TakeError`] if the store did not answer.
 pub async fn take_from_store(node: &Arc<Node>) -> Result<(), TakeError> {
-    let Some((_, head)) = store_head(node).await? else {
+    let Some((version, head)) = store_head(node).await? else {
         return Ok(());
     };
     if head.number <= node.config.number() {
         return Ok(());
     }
     let parts = store_parts(node, node.config.missing(&head)).await?;
-    install(node, head, parts)
+    install(node, head, parts, version)
 }
 
 /// Takes over the configuration of the node at `peer`.
@@ -209,17 +217,22 @@
     let current = node.config.load();
     let call = Call::GetConfig(current.head.number);
     match node.peers.call(peer, &call).await {
-        Ok(Answer::Delta(delta, parts)) => match current.head.with_delta(&delta) {
-            Some(head) => install(node, head, parts),
+        Ok(Answer::Delta(delta, parts, version)) => match current.head.with_delta(&delta) {
+            Some(head) => install(node, head, parts, version),
             None => Err(TakeError::Garbled),
         },
-        Ok(Answer::Head(text)) => take_head(node, peer, &text).await,
+        Ok(Answer::Head(text, version)) => take_head(node, peer, &text, version).await,
         _ => Err(TakeError::Unavailable),
     }
 }
 
 /// Takes over a whole head that the node at `peer` sent.
-async fn take_head(node: &Arc<Node>, peer: &Name, text: &str) -> Result<(), TakeError> {
+async fn take_head(
+    node: &Arc<Node>,
+    peer: &Name,
+    text: &str,
+    version: u64,
+) -> Result<(), TakeError> {
     if text.is_empty() {
         return Ok(());
     }
@@ -232,12 +245,17 @@
     let Ok(Answer::Parts(parts)) = answer else {
         return Err(TakeError::Unavailable);
     };
-    install(node, head, parts)
+    install(node, head, parts, version)
 }
 
-fn install(node: &Arc<Node>, head: Head, parts: Vec<PartText>) -> Result<(), TakeError> {
+fn install(
+    node: &Arc<Node>,
+    head: Head,
+    parts: Vec<PartText>,
+    version: u64,
+) -> Result<(), TakeError> {
     let number = head.number;
-    if node.config.install(head, parts)? {
+    if node.config.install(head, parts, version)? {
         log::info!("config: number {number} is in force");
         node.moves.update(&node.config.load().config);
         members::publish(node, Fact::Config { number });
@@ -268,7 +286,7 @@
             .await
         {
             Ok(events) => {
-                if events.events.is_empty() || take_from_store(&node).await.is_ok() {
+                if take_event(&node, &events).await {
                     revision = events.revision;
                 }
             }
@@ -280,6 +298,20 @@
     }
 }
 
+/// Acts on a watched change and returns whether it is dealt with.
+///
+/// The node that stored the change tells its neighbours a delta, which mostly
+/// is here before this node would have read the whole head.
+async fn take_event(node: &Arc<Node>, events: &Events) -> bool {
+    let Some(newest) = events.events.iter().map(|event| event.version).max() else {
+        return true;
+    };
+    if node.config.load().version < newest {
+        tokio::time::sleep(DELTA_WAIT).await;
+    }
+    node.config.load().version >= newest || take_from_store(node).await.is_ok()
+}
+
 /// Takes the first configuration from the store, or else from a neighbour.
 async fn take_from_any(node: &Arc<Node>) {
     if take_from_store(node).await.is_ok() {
@@ -399,14 +431,14 @@
     }
     let content = serde_json::to_vec(&next).map_err(|_| StoreError::NotStored)?;
     let condition = version.map_or(Condition::Absent, Condition::Version);
-    match node.platform.put(HEAD_KEY, content.into(), condition).await {
-        Ok(_) => {}
+    let version = match node.platform.put(HEAD_KEY, content.into(), condition).await {
+        Ok(version) => version,
         Err(WriteError::Conflict) => return Err(StoreError::Conflict),
         Err(WriteError::Unavailable) => return Err(StoreError::Unknown),
-    }
+    };
     let number = next.number;
     // The configuration was checked above, so it can be put in force.
-    let _ = install(node, next, texts);
+    let _ = install(node, next, texts, version);
     delete_expired(node, expired);
     Ok(number)
 }
--- a/src/node/feed.rs
+++ b/src/node/feed.rs
@@ -34,7 +34,9 @@
 const RETRY_WAIT: Duration = Duration::from_millis(500);
 
 /// Calls for load reports and cache events that a node makes each second.
-const POLLS_PER_S: u32 = 12;
+///
+/// Servers that answer requests report their load with the answers.
+const POLLS_PER_S: u32 = 3;
 
 /// Time in which a backend server must answer a poll.
 const POLL_TIMEOUT: Duration = Duration::from_millis(500);
--- a/src/node/peers/mod.rs
+++ b/src/node/peers/mod.rs
@@ -51,10 +51,12 @@
     Digest(u64),
     /// Every fact held.
     Facts(Vec<Fact>),
-    /// What changed in the configuration, with the parts that were set.
-    Delta(head::Delta, Vec<PartText>),
-    /// The head of the configuration as JSON; empty if there is none.
-    Head(String),
+    /// What changed in the configuration, with the parts that were set and the
+    /// version of the head object.
+    Delta(head::Delta, Vec<PartText>, u64),
+    /// The head of the configuration as JSON, empty if there is none, and the
+    /// version of the head object.
+    Head(String, u64),
     /// Parts of the configuration.
     Parts(Vec<PartText>),
     /// Changes of the list of VMs.
--- a/src/standin/engine/mod.rs
+++ b/src/standin/engine/mod.rs
@@ -279,7 +279,12 @@
     let sequence = Sequence::new(id, &completion, priority, out);
     engine.batch.lock().unwrap().push(sequence);
     engine.pushed.notify_one();
-    web::events(parts)
+    let load = engine.reported_load();
+    let mut response = web::events(parts);
+    let headers = response.headers_mut();
+    headers.insert("x-load-running", load.running.into());
+    headers.insert("x-load-waiting", load.waiting.into());
+    response
 }
 
 fn export(engine: &Engine, request: &str) -> Response<Body> {
--- a/tests/system/faults.rs
+++ b/tests/system/faults.rs
@@ -61,12 +61,12 @@
                             ..faults
                         },
                     )
-                    .await
+                    .await;
             }
             "cut" => {
                 cluster
                     .set_proxy(&hit.proxy, &proxy::Faults { cut: 1, ..faults })
-                    .await
+                    .await;
             }
             _ => {
                 cluster
@@ -78,7 +78,7 @@
                             ..faults
                         },
                     )
-                    .await
+                    .await;
             }
         }
         all_whole(open, case).await;
