Decide on leases, orders and the fleet in the core

Cause: duties, orders to servers and the number of VMs had no decisions yet. Change: core::lease (fencing numbers, a term trusted with a margin, a wait for old orders where servers ignore fences), core::fleet (cheapest plan that holds the target when a failure domain is lost, starts paced by the weight store), cassialock-load fleet. 14 decision tests, among them 300 seeded worlds of three nodes with pauses, lost replies and slow orders. Conclusion: the decisions stand; no node carries them out yet.

--- a/src/bin/cassialock-load.rs
+++ b/src/bin/cassialock-load.rs
@@ -6,6 +6,7 @@
 use cassialock::cli::table;
 use cassialock::core::route::PolicyKind;
 use cassialock::load::deploy::Shape;
+use cassialock::load::fleet;
 use cassialock::load::matrix;
 use cassialock::load::matrix::Case;
 use cassialock::load::matrix::Report;
@@ -31,6 +32,8 @@
     Matrix(MatrixFlags),
     #[options(help = "play seeded version moves of every kind")]
     Moves(MovesFlags),
+    #[options(help = "play seeded days of the fleet with each strategy")]
+    Fleet(FleetFlags),
     #[options(help = "measure how state, messages and processor time grow")]
     Slopes(JsonFlags),
     #[options(help = "send an open-loop load with each routing policy")]
@@ -57,6 +60,16 @@
     json: bool,
 }
 
+#[derive(Debug, Options)]
+struct FleetFlags {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(no_short, help = "days for each strategy", meta = "N", default = "100")]
+    days: u64,
+    #[options(no_short, help = "print JSON")]
+    json: bool,
+}
+
 #[derive(Debug, Options)]
 struct CompareFlags {
     #[options(help = "print this help")]
@@ -113,6 +126,7 @@
     let is_good = match &flags.command {
         Some(Command::Matrix(matrix)) => runtime.block_on(run_matrix(matrix)),
         Some(Command::Moves(moves)) => run_moves(moves),
+        Some(Command::Fleet(fleet)) => run_fleet(fleet),
         Some(Command::Slopes(slopes)) => run_slopes(slopes.json),
         Some(Command::Compare(compare)) => runtime.block_on(run_compare(compare)),
         Some(Command::Overhead(overhead)) => runtime.block_on(run_overhead(overhead.json)),
@@ -263,6 +277,32 @@
     figures.len() == moves::KINDS.len() && figures.iter().all(is_good)
 }
 
+fn run_fleet(flags: &FleetFlags) -> bool {
+    let figures = fleet::STRATEGIES.map(|strategy| fleet::play(strategy, flags.days));
+    if flags.json {
+        print_json(&figures);
+        return true;
+    }
+    let rows = figures.each_ref().map(|f| {
+        vec![
+            format!("{:?}", f.strategy),
+            format!("{:.3} %", f.in_target),
+            format!("{:.2}", f.cost),
+            f.reclaimed.to_string(),
+            f.refused.to_string(),
+        ]
+    });
+    let heading = [
+        "FLEET",
+        "IN TARGET",
+        "CENTS PER 1000 GOOD",
+        "RECLAIMED",
+        "STARTS REFUSED",
+    ];
+    table::print(&heading, &rows);
+    true
+}
+
 fn run_slopes(is_json: bool) -> bool {
     let slopes = slopes::measure();
     if is_json {
--- /dev/null
+++ b/src/core/lease/mod.rs
@@ -0,0 +1,207 @@
+//! Leases: which node has a duty, by an object with a fencing number.
+//!
+//! A duty is one of the jobs that only one node at a time should do for a
+//! service, such as giving orders to its backend servers. The lease lies in the
+//! platform's object API and is taken, renewed and given back by conditional
+//! updates. The holder trusts it only until its own clock says that a margin
+//! is left, and asks again after every wait.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::core::Name;
+use crate::core::config::Fencing;
+use crate::core::time::Time;
+
+pub mod order;
+
+/// Time for which a lease is given.
+pub const TERM: Duration = Duration::from_secs(15);
+
+/// Time between two renewals.
+pub const RENEWAL: Duration = Duration::from_secs(5);
+
+/// Part of the term that the holder does not use.
+///
+/// It covers clocks that run at different speeds and the time that a write
+/// takes to come back.
+pub const MARGIN: Duration = Duration::from_secs(3);
+
+/// Longest time for which an order may be on its way.
+pub const ORDER_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The content of a lease object.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Lease {
+    /// The node that has the duty.
+    pub holder: Name,
+    /// Raised each time the duty changes hands.
+    pub fence: u64,
+    /// Raised at each renewal, so that others see the lease move.
+    pub renewal: u64,
+}
+
+/// What a node should do about a duty now.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Step {
+    /// Write this lease, if the object still has the version last read.
+    Write(Lease),
+    /// Nothing.
+    Wait,
+    /// Act as the holder: the lease is held until this time.
+    Act {
+        /// The fencing number that orders carry.
+        fence: u64,
+        /// When to stop acting.
+        until: Time,
+    },
+}
+
+/// A lease as last read, with the time since it was last seen to move.
+#[derive(Clone, Debug, Eq, PartialEq)]
+struct Seen {
+    lease: Lease,
+    moved_at: Time,
+}
+
+/// One node's view of one duty.
+///
+/// Other nodes' clocks do not matter: a lease is over when it was not seen to
+/// move for a whole term by this node's own clock.
+#[derive(Clone, Debug)]
+pub struct Duty {
+    me: Name,
+    fencing: Fencing,
+    seen: Option<Seen>,
+    held_until: Option<Time>,
+    acts_from: Time,
+    last_write: Option<Time>,
+}
+
+impl Duty {
+    /// Creates the view of a duty of which nothing is known.
+    pub fn new(me: Name, fencing: Fencing) -> Self {
+        Self {
+            me,
+            fencing,
+            seen: None,
+            held_until: None,
+            acts_from: Time::default(),
+            last_write: None,
+        }
+    }
+
+    /// Takes over the lease object as read at `now`.
+    pub fn record_read(&mut self, lease: Option<Lease>, now: Time) {
+        let Some(lease) = lease else {
+            self.seen = None;
+            return;
+        };
+        if lease.holder != self.me {
+            self.held_until = None;
+        }
+        let is_same = self.seen.as_ref().is_some_and(|seen| seen.lease == lease);
+        if !is_same {
+            self.seen = Some(Seen {
+                lease,
+                moved_at: now,
+            });
+        }
+    }
+
+    /// Takes over that a write was confirmed which was sent at `sent`.
+    ///
+    /// The term counts from the sending, because others may have seen the
+    /// write long before its reply came.
+    pub fn record_written(&mut self, lease: Lease, sent: Time) {
+        let was_held = self
+            .seen
+            .as_ref()
+            .is_some_and(|seen| seen.lease.holder == self.me && seen.lease.fence == lease.fence);
+        if !was_held && self.fencing == Fencing::Ignored {
+            // Servers that do not check could still get an order of the holder
+            // before, sent at the end of its term.
+            self.acts_from = sent + MARGIN + ORDER_TIMEOUT;
+        }
+        self.held_until = Some(sent + (TERM - MARGIN));
+        self.seen = Some(Seen {
+            lease,
+            moved_at: sent,
+        });
+    }
+
+    /// Takes over that a write failed or that its outcome is not known.
+    pub fn record_lost(&mut self) {
+        self.held_until = None;
+    }
+
+    /// Returns what to do now; `wanted` says whether this node should have the duty.
+    pub fn step(&mut self, wanted: bool, now: Time) -> Step {
+        if let Some(until) = self.held_until {
+            return self.step_held(wanted, until, now);
+        }
+        if !wanted {
+            return Step::Wait;
+        }
+        let next = match &self.seen {
+            None => Lease {
+                holder: self.me.clone(),
+                fence: 1,
+                renewal: 0,
+            },
+            Some(seen) if now.since(seen.moved_at) < TERM => return Step::Wait,
+            Some(seen) => Lease {
+                holder: self.me.clone(),
+                fence: seen.lease.fence + 1,
+                renewal: 0,
+            },
+        };
+        self.write(next, now)
+    }
+
+    fn step_held(&mut self, wanted: bool, until: Time, now: Time) -> Step {
+        let Some(seen) = &self.seen else {
+            return Step::Wait;
+        };
+        if now >= until {
+            // Paused or cut off for too long: the duty may be someone else's.
+            self.held_until = None;
+            return Step::Wait;
+        }
+        let is_due = self
+            .last_write
+            .is_none_or(|last| now.since(last) >= RENEWAL);
+        if wanted && is_due {
+            let mut next = seen.lease.clone();
+            next.renewal += 1;
+            return self.write(next, now);
+        }
+        if now < self.acts_from || !wanted {
+            return Step::Wait;
+        }
+        Step::Act {
+            fence: seen.lease.fence,
+            until,
+        }
+    }
+
+    fn write(&mut self, lease: Lease, now: Time) -> Step {
+        self.last_write = Some(now);
+        Step::Write(lease)
+    }
+
+    /// Returns whether an order that takes [`ORDER_TIMEOUT`] may be sent now.
+    ///
+    /// Asked again after every wait, just before the order goes out.
+    pub fn may_order(&self, now: Time) -> bool {
+        let holds = |until| now + ORDER_TIMEOUT <= until;
+        self.held_until.is_some_and(holds) && now >= self.acts_from
+    }
+
+    /// Returns the fencing number of the lease last seen.
+    pub fn fence(&self) -> u64 {
+        self.seen.as_ref().map_or(0, |seen| seen.lease.fence)
+    }
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -7,6 +7,8 @@
 
 pub mod call;
 pub mod config;
+pub mod fleet;
+pub mod lease;
 pub mod limit;
 pub mod member;
 pub mod moves;
--- /dev/null
+++ b/src/load/fleet.rs
@@ -0,0 +1,303 @@
+//! Seeded days of a fleet under reclaims, moving prices and refused starts,
+//! with the plan of the core and two baselines.
+
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use serde::Serialize;
+
+use crate::core::Name;
+use crate::core::fleet;
+use crate::core::fleet::Demand;
+use crate::core::fleet::Offer;
+use crate::core::fleet::Share;
+use crate::core::fleet::starts::Pacer;
+use crate::core::fleet::starts::Step;
+use crate::core::route::servers::Class;
+use crate::core::route::servers::Vm;
+use crate::core::time::Time;
+
+/// Step of the clock.
+const STEP: Duration = Duration::from_secs(60);
+
+/// Steps of one day.
+const STEPS: u64 = 24 * 60;
+
+/// Steps that a start takes until the VM serves.
+const START_STEPS: u64 = 4;
+
+/// Chance that a reclaimable VM is taken in one step.
+const RECLAIM_CHANCE: f64 = 0.002;
+
+/// Chance that a wave takes all reclaimable VMs of a domain in one step.
+const WAVE_CHANCE: f64 = 0.001;
+
+/// Steps for which starts are refused after a wave.
+const REFUSED_STEPS: u64 = 20;
+
+/// Requests that run at the same time at the peak of the day.
+const PEAK_RUNNING: f64 = 60.0;
+
+/// Requests that one server runs at the same time.
+const SLOTS: u32 = 8;
+
+/// Part of a server's slots up to which answers meet the latency target.
+const TARGET_PART: f64 = 0.85;
+
+/// Good answers of one running request in an hour.
+const ANSWERS_PER_HOUR: f64 = 1_200.0;
+
+/// How the fleet is chosen.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Strategy {
+    /// The plan, weighing cost and recomputation more.
+    PlanForCost,
+    /// The plan, weighing safe answers more.
+    PlanForSafety,
+    /// On-demand VMs only, enough for the loss of a domain.
+    AllOnDemand,
+    /// Reclaimable VMs only, enough for the mean.
+    AllReclaimable,
+}
+
+/// All strategies.
+pub const STRATEGIES: [Strategy; 4] = [
+    Strategy::AllOnDemand,
+    Strategy::AllReclaimable,
+    Strategy::PlanForCost,
+    Strategy::PlanForSafety,
+];
+
+/// What a strategy gave over all days.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Figures {
+    /// How the fleet was chosen.
+    pub strategy: Strategy,
+    /// Days that were played.
+    pub days: u64,
+    /// Part of the answers that met the latency target, in percent.
+    pub in_target: f64,
+    /// Cost for a thousand good answers, in cents.
+    pub cost: f64,
+    /// VMs that were reclaimed.
+    pub reclaimed: u64,
+    /// Starts that were refused.
+    pub refused: u64,
+}
+
+struct Day {
+    rng: SmallRng,
+    strategy: Strategy,
+    offers: Vec<Offer>,
+    base: Vec<f64>,
+    vms: Vec<(Vm, u64)>,
+    pacer: Pacer,
+    refused_until: Vec<(Name, u64)>,
+    next_id: u64,
+    cents: f64,
+    good: f64,
+    asked: f64,
+    reclaimed: u64,
+    refused: u64,
+}
+
+fn offers() -> Vec<Offer> {
+    let prices = [
+        ("seoul-a", 80.0, 240.0),
+        ("seoul-b", 74.0, 235.0),
+        ("seoul-c", 90.0, 250.0),
+    ];
+    let mut offers = Vec::new();
+    for (domain, reclaimable, on_demand) in prices {
+        offers.push(Offer {
+            domain: domain.into(),
+            class: Class::Reclaimable,
+            price: reclaimable,
+            availability: 0.97,
+        });
+        offers.push(Offer {
+            domain: domain.into(),
+            class: Class::OnDemand,
+            price: on_demand,
+            availability: 0.999,
+        });
+    }
+    offers
+}
+
+/// Plays `days` seeded days of one strategy.
+pub fn play(strategy: Strategy, days: u64) -> Figures {
+    let mut total = Figures {
+        strategy,
+        days,
+        in_target: 0.0,
+        cost: 0.0,
+        reclaimed: 0,
+        refused: 0,
+    };
+    let (mut good, mut asked, mut cents) = (0.0, 0.0, 0.0);
+    for seed in 0..days {
+        let mut day = Day::new(strategy, seed);
+        for step in 0..STEPS {
+            day.step(step);
+        }
+        good += day.good;
+        asked += day.asked;
+        cents += day.cents;
+        total.reclaimed += day.reclaimed;
+        total.refused += day.refused;
+    }
+    total.in_target = good / asked * 100.0;
+    total.cost = cents / (good / 1_000.0);
+    total
+}
+
+impl Day {
+    fn new(strategy: Strategy, seed: u64) -> Self {
+        let offers = offers();
+        Self {
+            rng: SmallRng::seed_from_u64(seed),
+            strategy,
+            base: offers.iter().map(|offer| offer.price).collect(),
+            offers,
+            vms: Vec::new(),
+            pacer: Pacer::new(0.1, Time::default()),
+            refused_until: Vec::new(),
+            next_id: 0,
+            cents: 0.0,
+            good: 0.0,
+            asked: 0.0,
+            reclaimed: 0,
+            refused: 0,
+        }
+    }
+
+    /// Returns the requests that run now: a day with one peak.
+    fn running(step: u64) -> f64 {
+        let part = step as f64 / STEPS as f64;
+        let wave = (part * std::f64::consts::TAU - std::f64::consts::FRAC_PI_2).sin();
+        PEAK_RUNNING * (0.6 + 0.4 * wave)
+    }
+
+    fn step(&mut self, step: u64) {
+        if step.is_multiple_of(60) {
+            self.move_prices();
+        }
+        self.reclaim(step);
+        let running = Self::running(step);
+        self.follow_plan(step, running);
+        self.account(step, running);
+    }
+
+    fn move_prices(&mut self) {
+        for (offer, base) in self.offers.iter_mut().zip(&self.base) {
+            if offer.class == Class::Reclaimable {
+                offer.price = base * self.rng.random_range(0.7..1.6);
+            }
+        }
+    }
+
+    fn reclaim(&mut self, step: u64) {
+        let domains: Vec<Name> = self.offers.iter().map(|o| o.domain.clone()).collect();
+        let hit = self
+            .rng
+            .random_bool(WAVE_CHANCE)
+            .then(|| domains[self.rng.random_range(0..domains.len())].clone());
+        if let Some(domain) = &hit {
+            self.refused_until
+                .push((domain.clone(), step + REFUSED_STEPS));
+        }
+        let rng = &mut self.rng;
+        let before = self.vms.len();
+        self.vms.retain(|(vm, _)| {
+            let is_hit = hit.as_ref() == Some(&vm.domain) || rng.random_bool(RECLAIM_CHANCE);
+            vm.class == Class::OnDemand || !is_hit
+        });
+        self.reclaimed += (before - self.vms.len()) as u64;
+    }
+
+    fn plan(&self, running: f64) -> Vec<Share> {
+        let demand = |on_demand_part| Demand {
+            // Load grows while VMs start.
+            running: running * 1.1,
+            slots: SLOTS,
+            on_demand_part,
+        };
+        let only = |class: Class, factor: f64| {
+            let servers = running * 1.1 * factor / (f64::from(SLOTS) * 0.75);
+            self.offers
+                .iter()
+                .map(|offer| Share {
+                    domain: offer.domain.clone(),
+                    class: offer.class,
+                    count: if offer.class == class {
+                        (servers / 3.0).ceil() as u32
+                    } else {
+                        0
+                    },
+                })
+                .collect()
+        };
+        match self.strategy {
+            Strategy::PlanForCost => fleet::plan(&demand(0.0), &self.offers),
+            Strategy::PlanForSafety => fleet::plan(&demand(0.35), &self.offers),
+            Strategy::AllOnDemand => only(Class::OnDemand, 1.5),
+            Strategy::AllReclaimable => only(Class::Reclaimable, 1.0),
+        }
+    }
+
+    fn follow_plan(&mut self, step: u64, running: f64) {
+        let plan = self.plan(running);
+        let vms: Vec<Vm> = self.vms.iter().map(|(vm, _)| vm.clone()).collect();
+        let now = Time::default() + STEP * step as u32;
+        for order in self.pacer.steps(&plan, &vms, now) {
+            match order {
+                Step::Start { domain, class } => self.start(domain, class, step, now),
+                Step::Remove { vm } => self.vms.retain(|(own, _)| own.id != vm),
+            }
+        }
+    }
+
+    fn start(&mut self, domain: Name, class: Class, step: u64, now: Time) {
+        let is_refused = class == Class::Reclaimable
+            && self
+                .refused_until
+                .iter()
+                .any(|(refused, until)| *refused == domain && step < *until);
+        if is_refused {
+            self.refused += 1;
+            self.pacer.record_refused(&domain, class, now);
+            return;
+        }
+        self.next_id += 1;
+        let vm = Vm {
+            id: format!("vm-{}", self.next_id).into(),
+            service: "s".into(),
+            version: "v1".into(),
+            address: "127.0.0.1:1".into(),
+            domain,
+            class,
+            leaving: false,
+        };
+        let ready = if step == 0 { 0 } else { step + START_STEPS };
+        self.vms.push((vm, ready));
+    }
+
+    fn account(&mut self, step: u64, running: f64) {
+        let hours = STEP.as_secs_f64() / 3_600.0;
+        for (vm, _) in &self.vms {
+            let offer = self
+                .offers
+                .iter()
+                .find(|offer| offer.domain == vm.domain && offer.class == vm.class);
+            self.cents += offer.map_or(0.0, |offer| offer.price) * hours;
+        }
+        let ready = self.vms.iter().filter(|(_, at)| *at <= step).count();
+        let capacity = ready as f64 * f64::from(SLOTS) * TARGET_PART;
+        self.asked += running * ANSWERS_PER_HOUR * hours;
+        self.good += running.min(capacity) * ANSWERS_PER_HOUR * hours;
+    }
+}
--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -3,6 +3,7 @@
 pub mod caller;
 pub mod deploy;
 pub mod fit;
+pub mod fleet;
 pub mod matrix;
 pub mod moves;
 pub mod run;
--- /dev/null
+++ b/tests/decisions/fleet.rs
@@ -0,0 +1,167 @@
+//! Fleet plans and the steps towards them.
+
+use std::time::Duration;
+
+use cassialock::core::fleet;
+use cassialock::core::fleet::Demand;
+use cassialock::core::fleet::Offer;
+use cassialock::core::fleet::Share;
+use cassialock::core::fleet::starts::Pacer;
+use cassialock::core::fleet::starts::Step;
+use cassialock::core::route::servers::Class;
+use cassialock::core::route::servers::Vm;
+use cassialock::core::time::Time;
+
+fn offers(reclaimable: f64) -> Vec<Offer> {
+    let mut offers = Vec::new();
+    for domain in ["a", "b", "c"] {
+        for (class, price, availability) in [
+            (Class::Reclaimable, reclaimable, 0.9),
+            (Class::OnDemand, 200.0, 1.0),
+        ] {
+            offers.push(Offer {
+                domain: domain.into(),
+                class,
+                price,
+                availability,
+            });
+        }
+    }
+    offers
+}
+
+fn demand(on_demand_part: f64) -> Demand {
+    Demand {
+        running: 60.0,
+        slots: 8,
+        on_demand_part,
+    }
+}
+
+#[test]
+fn any_domain_can_be_lost() {
+    for part in [0.0, 0.3, 1.0] {
+        for price in [50.0, 190.0, 300.0] {
+            let offers = offers(price);
+            let plan = fleet::plan(&demand(part), &offers);
+            let needed = 60.0 / (8.0 * 0.75);
+            for lost in ["a", "b", "c"] {
+                let left = fleet::carried_without(&plan, &offers, Some(&lost.into()));
+                assert!(
+                    left >= needed,
+                    "{part} {price}: {left} of {needed} without {lost}"
+                );
+            }
+        }
+    }
+}
+
+#[test]
+fn the_cheaper_class_is_taken() {
+    let count = |price: f64, class: Class| -> u32 {
+        let offers = offers(price);
+        let plan = fleet::plan(&demand(0.0), &offers);
+        plan.iter()
+            .filter(|s| s.class == class)
+            .map(|s| s.count)
+            .sum()
+    };
+    assert_eq!(count(50.0, Class::OnDemand), 0);
+    assert_eq!(count(300.0, Class::Reclaimable), 0);
+}
+
+#[test]
+fn the_weighting_decides_on_the_firm_part() {
+    let offers = offers(50.0);
+    let cheap = fleet::plan(&demand(0.0), &offers);
+    let safe = fleet::plan(&demand(0.5), &offers);
+    assert!(fleet::price(&cheap, &offers) < fleet::price(&safe, &offers));
+    let firm: u32 = safe
+        .iter()
+        .filter(|s| s.class == Class::OnDemand)
+        .map(|s| s.count)
+        .sum();
+    assert!(firm >= 8);
+}
+
+fn share(domain: &str, class: Class, count: u32) -> Share {
+    Share {
+        domain: domain.into(),
+        class,
+        count,
+    }
+}
+
+fn vm(id: &str, domain: &str, class: Class) -> Vm {
+    Vm {
+        id: id.into(),
+        service: "s".into(),
+        version: "v1".into(),
+        address: "127.0.0.1:1".into(),
+        domain: domain.into(),
+        class,
+        leaving: false,
+    }
+}
+
+#[test]
+fn starts_are_paced_by_the_weight_store() {
+    let plan = [share("a", Class::Reclaimable, 10)];
+    let mut pacer = Pacer::new(2.0, Time::default());
+    assert_eq!(pacer.steps(&plan, &[], Time::default()).len(), 2);
+    let later = Time::default() + Duration::from_millis(500);
+    assert_eq!(pacer.steps(&plan, &[], later).len(), 1);
+}
+
+#[test]
+fn a_refused_start_is_made_elsewhere() {
+    let plan = [
+        share("a", Class::Reclaimable, 1),
+        share("b", Class::Reclaimable, 0),
+    ];
+    let now = Time::from_millis(1_000);
+    let mut pacer = Pacer::new(10.0, now);
+    let start = |domain: &str, class| {
+        vec![Step::Start {
+            domain: domain.into(),
+            class,
+        }]
+    };
+    pacer.record_refused(&"a".into(), Class::Reclaimable, now);
+    assert_eq!(pacer.steps(&plan, &[], now), start("a", Class::OnDemand));
+    pacer.record_refused(&"a".into(), Class::OnDemand, now);
+    assert_eq!(pacer.steps(&plan, &[], now), start("b", Class::Reclaimable));
+    let later = now + Duration::from_secs(31);
+    assert_eq!(
+        pacer.steps(&plan, &[], later),
+        start("a", Class::Reclaimable)
+    );
+}
+
+#[test]
+fn capacity_does_not_fall_before_its_replacement_is_there() {
+    let plan = [
+        share("a", Class::Reclaimable, 1),
+        share("a", Class::OnDemand, 0),
+    ];
+    let old = vm("old", "a", Class::OnDemand);
+    let new = vm("new", "a", Class::Reclaimable);
+    let now = Time::from_millis(1_000);
+    let mut pacer = Pacer::new(10.0, now);
+    let steps = pacer.steps(&plan, std::slice::from_ref(&old), now);
+    assert!(matches!(steps[..], [Step::Start { .. }]));
+    let steps = pacer.steps(&plan, &[old, new], now);
+    assert_eq!(steps, [Step::Remove { vm: "old".into() }]);
+}
+
+#[test]
+fn a_leaving_vm_is_replaced_at_once() {
+    let plan = [share("a", Class::Reclaimable, 1)];
+    let now = Time::from_millis(1_000);
+    let leaving = Vm {
+        leaving: true,
+        ..vm("x", "a", Class::Reclaimable)
+    };
+    let steps = Pacer::new(10.0, now).steps(&plan, &[leaving], now);
+    assert!(matches!(steps[..], [Step::Start { .. }]));
+}
--- /dev/null
+++ b/tests/decisions/lease.rs
@@ -0,0 +1,197 @@
+//! Leases: whatever is paused, lost or raced, no two holders act at once.
+
+use std::time::Duration;
+
+use cassialock::core::config::Fencing;
+use cassialock::core::lease;
+use cassialock::core::lease::Duty;
+use cassialock::core::lease::Lease;
+use cassialock::core::lease::Step;
+use cassialock::core::lease::order;
+use cassialock::core::time::Time;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+fn at(millis: u64) -> Time {
+    Time::from_millis(1_000_000 + millis)
+}
+
+fn take(duty: &mut Duty, now: Time) -> Lease {
+    duty.record_read(None, now);
+    match duty.step(true, now) {
+        Step::Write(lease) => {
+            duty.record_written(lease.clone(), now);
+            lease
+        }
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn a_holder_stops_before_its_term_ends() {
+    let mut duty = Duty::new("a".into(), Fencing::Refused);
+    take(&mut duty, at(0));
+    assert!(matches!(
+        duty.step(true, at(100)),
+        Step::Act { fence: 1, .. }
+    ));
+    assert!(duty.may_order(at(9_900)));
+    let end = (lease::TERM - lease::MARGIN).as_millis() as u64;
+    assert!(
+        !duty.may_order(at(end - 1_000)),
+        "an order would outlast the lease"
+    );
+    assert_eq!(duty.step(true, at(end)), Step::Wait);
+    assert!(!duty.may_order(at(end)));
+}
+
+#[test]
+fn a_newcomer_waits_a_whole_term_by_its_own_clock() {
+    let mut old = Duty::new("a".into(), Fencing::Refused);
+    let held = take(&mut old, at(0));
+    let mut new = Duty::new("b".into(), Fencing::Refused);
+    new.record_read(Some(held.clone()), at(5_000));
+    assert_eq!(new.step(true, at(19_999)), Step::Wait);
+    let Step::Write(next) = new.step(true, at(20_000)) else {
+        panic!("it did not take the duty");
+    };
+    assert_eq!((next.fence, &*next.holder), (2, "b"));
+}
+
+#[test]
+fn with_servers_that_ignore_fences_a_new_holder_waits_out_old_orders() {
+    let mut duty = Duty::new("b".into(), Fencing::Ignored);
+    take(&mut duty, at(0));
+    assert_eq!(duty.step(true, at(100)), Step::Wait);
+    let wait = (lease::MARGIN + lease::ORDER_TIMEOUT).as_millis() as u64;
+    assert!(!duty.may_order(at(wait - 1)));
+    assert!(duty.may_order(at(wait)));
+}
+
+#[test]
+fn an_unknown_write_ends_trust() {
+    let mut duty = Duty::new("a".into(), Fencing::Refused);
+    take(&mut duty, at(0));
+    duty.record_lost();
+    assert!(!duty.may_order(at(10)));
+}
+
+#[test]
+fn orders_name_the_end_state() {
+    let wanted = "v2".into();
+    assert_eq!(order::next(&wanted, Some(&wanted), 3), None);
+    let order = order::next(&wanted, Some(&"v1".into()), 3).unwrap();
+    assert_eq!((order.fence, &*order.version), (3, "v2"));
+}
+
+/// Three nodes, one store, one server; pauses, lost replies and slow orders.
+struct World {
+    rng: SmallRng,
+    stored: Option<(u64, Lease)>,
+    duties: Vec<Duty>,
+    versions: Vec<Option<u64>>,
+    paused_until: Vec<u64>,
+    acting: Vec<(u64, usize, u64)>,
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let duty = |at: usize| Duty::new(format!("n{at}").into(), Fencing::Ignored);
+        Self {
+            rng: SmallRng::seed_from_u64(seed),
+            stored: None,
+            duties: (0..3).map(duty).collect(),
+            versions: vec![None; 3],
+            paused_until: vec![0; 3],
+            acting: Vec::new(),
+        }
+    }
+
+    fn read(&mut self, node: usize, now: u64) {
+        let stored = self.stored.clone();
+        self.versions[node] = stored.as_ref().map(|(version, _)| *version);
+        self.duties[node].record_read(stored.map(|(_, lease)| lease), at(now));
+    }
+
+    fn write(&mut self, node: usize, lease: Lease, now: u64) {
+        let current = self.stored.as_ref().map(|(version, _)| *version);
+        if current != self.versions[node] {
+            self.duties[node].record_lost();
+            self.read(node, now);
+            return;
+        }
+        let version = current.unwrap_or(0) + 1;
+        self.stored = Some((version, lease.clone()));
+        if self.rng.random_bool(0.2) {
+            self.duties[node].record_lost();
+            self.read(node, now);
+            return;
+        }
+        self.versions[node] = Some(version);
+        self.duties[node].record_written(lease, at(now));
+    }
+
+    /// Lets a node work for one step; returns false if two orders overlap.
+    fn step(&mut self, node: usize, now: u64) -> bool {
+        if now < self.paused_until[node] {
+            return true;
+        }
+        if self.rng.random_bool(0.01) {
+            self.paused_until[node] = now + self.rng.random_range(500..40_000);
+            return true;
+        }
+        if self.rng.random_bool(0.5) {
+            self.read(node, now);
+        }
+        match self.duties[node].step(true, at(now)) {
+            Step::Write(lease) => self.write(node, lease, now),
+            Step::Act { .. } if self.duties[node].may_order(at(now)) => {
+                let length = self
+                    .rng
+                    .random_range(1..=lease::ORDER_TIMEOUT.as_millis() as u64);
+                let overlaps = self
+                    .acting
+                    .iter()
+                    .any(|(until, other, _)| *other != node && *until > now);
+                self.acting.retain(|(until, _, _)| *until > now);
+                self.acting.push((now + length, node, now));
+                return !overlaps;
+            }
+            _ => {}
+        }
+        true
+    }
+}
+
+#[test]
+fn no_two_holders_have_orders_under_way() {
+    let mut holders = Vec::new();
+    for seed in 0..300 {
+        let mut world = World::new(seed);
+        for step in 0..1_200 {
+            for node in 0..3 {
+                assert!(
+                    world.step(node, step * 100),
+                    "seed {seed} at {} ms",
+                    step * 100
+                );
+            }
+        }
+        holders.push(world.stored.map_or(0, |(_, lease)| lease.fence));
+    }
+    let changes: u64 = holders.iter().sum();
+    assert!(
+        changes > 600,
+        "only {changes} changes of hands, so the test shows little"
+    );
+}
+
+#[test]
+fn a_node_that_is_not_wanted_takes_no_duty() {
+    let mut duty = Duty::new("a".into(), Fencing::Refused);
+    duty.record_read(None, at(0));
+    assert_eq!(duty.step(false, at(0)), Step::Wait);
+    assert_eq!(duty.fence(), 0);
+    assert!(!duty.may_order(at(0) + Duration::from_secs(1)));
+}
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -2,6 +2,8 @@
 
 mod call;
 mod config;
+mod fleet;
+mod lease;
 mod limit;
 mod member;
 mod moves;
