Give each suspected request a server of its own over all nodes

Change: nodes that know the same crashes assign suspected requests to different servers without asking each other; a retry after a crash waits 60 ms for news of the others that it hit.

--- a/src/core/retry/crash.rs
+++ b/src/core/retry/crash.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use crate::core::Name;
+use crate::core::hash;
 use crate::core::time::Time;
 
 /// Servers on which a request may be tried in the whole system.
@@ -14,6 +15,9 @@
 /// Time for which a crash is remembered.
 pub const RETENTION: Duration = Duration::from_secs(600);
 
+/// Time after a crash for which the requests that it hit are kept apart.
+const SUSPECT_TIME: Duration = Duration::from_secs(15);
+
 /// Fingerprints remembered at the same time.
 const MAX_ROWS: usize = 1_024;
 
@@ -85,6 +89,48 @@
             .collect()
     }
 
+    /// Returns the requests that may have taken down a server lately, sorted.
+    pub fn suspects(&self, now: Time) -> Vec<Fingerprint> {
+        let mut suspects: Vec<Fingerprint> = self
+            .rows
+            .iter()
+            .filter(|row| now.since(row.at) < SUSPECT_TIME)
+            .map(|row| row.fingerprint)
+            .collect();
+        suspects.dedup();
+        suspects
+    }
+
+    /// Returns the server of `servers` that the suspected request `of` should
+    /// use, so that no two suspected requests run beside each other.
+    ///
+    /// Every node that knows the same crashes and servers gives each suspected
+    /// request another server, without asking the others. When there are more
+    /// suspected requests than servers, some share.
+    pub fn assign(&self, of: Fingerprint, servers: &[Name], now: Time) -> Option<usize> {
+        let mut free: Vec<usize> = (0..servers.len()).collect();
+        for suspect in self.suspects(now) {
+            let used = self.servers(suspect);
+            let rank = |at: &usize| hash(&[&suspect.0.to_string(), &servers[*at]]);
+            let best = free
+                .iter()
+                .copied()
+                .filter(|at| !used.contains(&servers[*at]))
+                .max_by_key(rank);
+            if suspect == of {
+                break;
+            }
+            if let Some(best) = best {
+                free.retain(|at| *at != best);
+            }
+        }
+        if free.is_empty() {
+            free = (0..servers.len()).collect();
+        }
+        free.into_iter()
+            .max_by_key(|at| hash(&[&of.0.to_string(), &servers[*at]]))
+    }
+
     /// Returns whether the request must not be tried on another server.
     pub fn is_blocked(&self, fingerprint: Fingerprint) -> bool {
         self.servers(fingerprint).len() >= MAX_SERVERS
--- a/src/node/backends/mod.rs
+++ b/src/node/backends/mod.rs
@@ -7,12 +7,10 @@
 use http::StatusCode;
 use http_body_util::Full;
 
-use crate::core;
 use crate::core::Name;
 use crate::core::config::Service;
 use crate::core::retry::Cause;
 use crate::core::retry::crash::Fingerprint;
-use crate::core::route::Candidate;
 use crate::core::route::Request as RouteRequest;
 use crate::core::route::servers::Filter;
 use crate::core::time::Time;
@@ -127,7 +125,11 @@
     let servers = node.servers.lock().unwrap();
     let candidates = servers.candidates(filter, choice.request, now);
     let at = match choice.suspect {
-        Some(suspect) => choose_apart(suspect, &candidates)?,
+        Some(suspect) => {
+            let names: Vec<Name> = candidates.iter().map(|c| c.id.clone()).collect();
+            let crashes = node.crashes.lock().unwrap();
+            crashes.assign(suspect, &names, now)?
+        }
         None => {
             let draw = node.draw();
             let mut policy = node.policy.lock().unwrap();
@@ -143,12 +145,6 @@
     })
 }
 
-/// Returns the candidate for a suspected request, which all nodes rank alike.
-fn choose_apart(suspect: Fingerprint, candidates: &[Candidate]) -> Option<usize> {
-    let rank = |at: &usize| core::hash(&[&suspect.0.to_string(), &candidates[*at].id]);
-    (0..candidates.len()).max_by_key(rank)
-}
-
 /// Asks a server over a new connection whether it lives.
 pub async fn is_alive(node: &Node, address: &str) -> bool {
     let request = Request::get(format!("http://{address}/health")).body(Full::default());
--- a/src/node/callers/llm.rs
+++ b/src/node/callers/llm.rs
@@ -69,6 +69,9 @@
 /// that runs no other such request.
 const ALONE_WAIT: Duration = Duration::from_secs(2);
 
+/// Time for the news of other requests that the same crash hit.
+const SUSPECT_PAUSE: Duration = Duration::from_millis(60);
+
 /// One request that is being answered.
 struct Call {
     record: StreamRecord,
@@ -541,6 +544,7 @@
         metrics::counter!("cassialock_crashes_total", "node" => node.label()).increment(1);
         node.crashes.lock().unwrap().record(crash.clone());
         members::publish_and_wait(node, Fact::Crash(crash)).await;
+        tokio::time::sleep(SUSPECT_PAUSE).await;
     }
 
     fn count_end(&self, node: &Node) {
--- a/tests/decisions/retry.rs
+++ b/tests/decisions/retry.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use cassialock::core::Name;
 use cassialock::core::retry::Budget;
 use cassialock::core::retry::Cause;
 use cassialock::core::retry::Decision;
@@ -123,3 +124,35 @@
     assert!(crashes.servers(Fingerprint(4_999)).len() == 1);
     assert!(crashes.servers(Fingerprint(100)).is_empty());
 }
+
+#[test]
+fn suspected_requests_get_servers_of_their_own() {
+    let servers: Vec<Name> = (0..6).map(|at| format!("s{at}").into()).collect();
+    let mut crashes = Crashes::new();
+    for at in 0..5 {
+        crashes.record(crash(Fingerprint(at * 7 + 1), "s0", 1_000));
+    }
+    let now = Time::from_millis(1_100);
+    let mut used: Vec<usize> = (0..5)
+        .map(|at| {
+            crashes
+                .assign(Fingerprint(at * 7 + 1), &servers[1..], now)
+                .unwrap()
+        })
+        .collect();
+    used.sort_unstable();
+    assert_eq!(used, [0, 1, 2, 3, 4]);
+
+    // More than there are servers: some share, and none is left out.
+    for at in 5..12 {
+        crashes.record(crash(Fingerprint(at * 7 + 1), "s0", 1_000));
+    }
+    for at in 0..12 {
+        assert!(
+            crashes
+                .assign(Fingerprint(at * 7 + 1), &servers[1..], now)
+                .is_some()
+        );
+    }
+    assert_eq!(crashes.assign(Fingerprint(1), &[], now), None);
+}
