--- a/src/node/callers/entries.rs
+++ b/src/node/callers/entries.rs
@@ -17,8 +17,10 @@
 /// Time for which a caller may keep the answer, in milliseconds.
 const KEEP_MS: u64 = 5_000;
 
-/// Weight of the entry that a caller should use first.
-const FIRST_WEIGHT: u32 = 4;
+/// Weight of each entry.
+///
+/// All are equal, because each enforces an equal part of the workspace's limit.
+const WEIGHT: u32 = 1;
 
 /// The entries for a workspace.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -57,7 +59,7 @@
             node: member.id.to_string(),
             address: member.address.to_string(),
             domain: member.domain.to_string(),
-            weight: FIRST_WEIGHT,
+            weight: WEIGHT,
         })
         .collect();
     let answer = Entries {
