Miss members that stop before their first heartbeat

Its neighbours waited only for members that they had heard once. Looking at it showed the opposite fault too: a member whose links moved to others would have been suspected by the old ones. Change: each node works out which members send to it, a few each round, and waits for their first heartbeat; before it suspects a silent member it checks that the member should still send to it. The test of one silent neighbour now asks for exactly one suspicion for each of the two silent members, because the second was never heard either; it is as strict. The completion call is split into call, reply and entry; reading bodies stands once.

--- a/src/core/member/roster.rs
+++ b/src/core/member/roster.rs
@@ -28,6 +28,9 @@
 /// It is longer than the time for which regions lose each other.
 const GONE_AFTER: Duration = Duration::from_secs(2 * 3_600);
 
+/// Members checked in one round for whether this node must watch them.
+const WATCH_CHECKS: usize = 8;
+
 /// Relays of configuration in each failure domain.
 pub const RELAYS: usize = 2;
 
@@ -37,6 +40,7 @@
     heard: Option<Time>,
     suspicions: Vec<Suspicion>,
     silent_since: Option<Time>,
+    is_checked: bool,
 }
 
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -121,11 +125,13 @@
             heard: None,
             suspicions: Vec::new(),
             silent_since: None,
+            is_checked: false,
         });
         if member.incarnation > row.member.incarnation {
             row.suspicions.clear();
             row.heard = None;
             row.silent_since = None;
+            row.is_checked = false;
         }
         if (member.incarnation, member.state) >= (row.member.incarnation, row.member.state) {
             row.member = member.clone();
@@ -187,6 +193,7 @@
         if was_paused {
             self.restart_watch(now);
         }
+        self.begin_watch(now);
         self.suspect_silent(now, &mut round);
         self.declare_gone(now, &mut round);
         self.forget_gone(now);
@@ -212,32 +219,76 @@
         }
     }
 
-    fn suspect_silent(&mut self, now: Time, round: &mut Round) {
-        for (id, row) in self.rows.iter_mut() {
-            let is_silent = row
-                .heard
-                .is_some_and(|heard| now.since(heard) > SUSPECT_AFTER);
-            let suspicion = Suspicion {
-                observer: self.me.id.clone(),
-                domain: self.me.domain.clone(),
-            };
-            if !is_silent || row.suspicions.contains(&suspicion) || row.member.state == State::Gone
-            {
-                continue;
+    /// Returns whether `subject` sends its heartbeats to this node.
+    fn is_heard_here(&self, subject: &str) -> bool {
+        links::of(subject, self.ring()).contains(&self.me.id)
+    }
+
+    /// Begins to wait for members whose first heartbeat has not come yet.
+    ///
+    /// Without it a member that stops before its first heartbeat would never
+    /// be missed.
+    fn begin_watch(&mut self, now: Time) {
+        let unchecked: Vec<Name> = self
+            .rows
+            .iter()
+            .filter(|(_, row)| !row.is_checked && row.member.state == State::Live)
+            .map(|(id, _)| id.clone())
+            .take(WATCH_CHECKS)
+            .collect();
+        for id in unchecked {
+            let is_heard = self.is_heard_here(&id);
+            if let Some(row) = self.rows.get_mut(&id) {
+                row.is_checked = true;
+                if is_heard && row.heard.is_none() && row.silent_since.is_none() {
+                    row.heard = Some(now);
+                }
             }
-            row.suspicions.push(suspicion);
-            row.heard = None;
-            row.silent_since = Some(now);
-            round.facts.push(Fact::Suspect {
-                subject: id.clone(),
-                incarnation: row.member.incarnation,
-                observer: self.me.id.clone(),
-                domain: self.me.domain.clone(),
-                at: now,
-            });
         }
     }
 
+    fn suspect_silent(&mut self, now: Time, round: &mut Round) {
+        let silent: Vec<Name> = self
+            .rows
+            .iter()
+            .filter(|(_, row)| row.member.state != State::Gone)
+            .filter(|(_, row)| {
+                row.heard
+                    .is_some_and(|heard| now.since(heard) > SUSPECT_AFTER)
+            })
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in silent {
+            // The ring may have changed, and the member sends to others now.
+            let is_heard = self.is_heard_here(&id);
+            self.end_watch(&id, is_heard, now, round);
+        }
+    }
+
+    /// Stops waiting for a silent member and, if it should be heard, suspects it.
+    fn end_watch(&mut self, id: &Name, is_heard: bool, now: Time, round: &mut Round) {
+        let suspicion = Suspicion {
+            observer: self.me.id.clone(),
+            domain: self.me.domain.clone(),
+        };
+        let Some(row) = self.rows.get_mut(id) else {
+            return;
+        };
+        row.heard = None;
+        if !is_heard || row.suspicions.contains(&suspicion) {
+            return;
+        }
+        row.suspicions.push(suspicion);
+        row.silent_since = Some(now);
+        round.facts.push(Fact::Suspect {
+            subject: id.clone(),
+            incarnation: row.member.incarnation,
+            observer: self.me.id.clone(),
+            domain: self.me.domain.clone(),
+            at: now,
+        });
+    }
+
     /// Declares neighbours as stopped that were not heard for very long.
     fn declare_gone(&mut self, now: Time, round: &mut Round) {
         for (_, row) in self.rows.iter_mut() {
--- a/src/node/callers/llm.rs
+++ b/src/node/callers/llm/call.rs
@@ -1,27 +1,13 @@
-//! Completion calls: one answer from as many attempts as it takes.
-
-use std::sync::Arc;
-use std::time::Duration;
-
-use bytes::Bytes;
-use http::Request;
-use http::Response;
-use http::StatusCode;
-use hyper::body::Incoming;
-use serde_json::json;
-use tokio::sync::mpsc;
-use tokio::sync::oneshot;
-use tokio::time::Instant;
+//! The answering of one completion request by as many attempts as it takes.
 
 use crate::core::Name;
-use crate::core::call::Progress;
 use crate::core::call::handover::Plan;
 use crate::core::call::request::Completion;
 use crate::core::call::request::Shape;
 use crate::core::config::Config;
 use crate::core::config::Kind;
 use crate::core::config::Service;
-use crate::core::limit::Priority;
+use crate::core::config::Workspace;
 use crate::core::member::gossip::Fact;
 use crate::core::refusal::Reason;
 use crate::core::refusal::Refusal;
@@ -45,22 +31,13 @@
 use crate::node::backends::engine::Attempt;
 use crate::node::backends::engine::Outcome;
 use crate::node::backends::engine::Signals;
-use crate::node::callers::MAX_BODY_BYTES;
-use crate::node::callers::head::Head;
-use crate::node::callers::refuse;
-use crate::node::callers::sink::Events;
-use crate::node::callers::sink::Moved;
+use crate::node::callers::llm;
 use crate::node::callers::sink::Sink;
-use crate::node::callers::sink::Whole;
 use crate::node::members;
-use crate::node::peers::Answer;
-use crate::node::peers::Call as PeerCall;
 use crate::node::peers::StreamRecord;
-use crate::web;
-use crate::web::Body;
-
-/// Events that may wait for a slow caller.
-const EVENT_QUEUE: usize = 32;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
 
 /// Wait for a server when there is none at the moment.
 const NO_SERVER_WAIT: Duration = Duration::from_millis(50);
@@ -73,12 +50,15 @@
 const SUSPECT_PAUSE: Duration = Duration::from_millis(60);
 
 /// One request that is being answered.
-struct Call {
-    record: StreamRecord,
-    completion: Completion,
-    limits: crate::core::config::Workspace,
+pub struct Call {
+    /// What another node needs to go on with it.
+    pub record: StreamRecord,
+    /// The request.
+    pub completion: Completion,
+    limits: Workspace,
     fingerprint: Fingerprint,
-    route: RouteRequest,
+    /// What the routing policy knows of it.
+    pub route: RouteRequest,
     route_name: Name,
     draw: u64,
     attempts: usize,
@@ -95,101 +75,19 @@
 }
 
 /// How the answering of a request ended.
-enum End {
+pub enum End {
+    /// The answer is whole.
     Finished,
+    /// The request was refused.
     Refused(Refusal),
+    /// The caller has gone.
     CallerGone,
+    /// The caller has come back on another connection.
     Released,
+    /// The node is stopping.
     Draining,
 }
 
-/// Answers a completion call.
-pub async fn serve(node: &Arc<Node>, shape: Shape, request: Request<Incoming>) -> Response<Body> {
-    let head = match Head::parse(node, request.headers()) {
-        Ok(head) => head,
-        Err(refusal) => return refuse::respond(node, &refusal, None),
-    };
-    let id = head.request.clone();
-    match open(node, shape, head, request).await {
-        Ok((call, sent)) if call.completion.stream => stream(node, call, sent).await,
-        Ok((call, _)) => whole(node, call).await,
-        Err(refusal) => refuse::respond(node, &refusal, Some(&id)),
-    }
-}
-
-/// Reads a new request, or takes up one that the caller comes back to.
-async fn open(
-    node: &Arc<Node>,
-    shape: Shape,
-    head: Head,
-    request: Request<Incoming>,
-) -> Result<(Call, u64), Refusal> {
-    let body = read_body(request.into_body()).await?;
-    if let Some(last) = &head.last_event {
-        let record = node.streams.take(&last.stream, &head.workspace).await;
-        let Some(record) = record else {
-            let detail = "this stream is not known here, or not any more; send the request anew";
-            return Err(
-                Refusal::new(Reason::UnknownStream, detail).with_verdict(Verdict::MayHaveRun)
-            );
-        };
-        let index = last.index.min(record.progress.tokens());
-        count_retry(node, "reconnect");
-        return Ok((Call::new(node, record, head.limits)?, index));
-    }
-    if node.is_draining() {
-        return Err(stopping());
-    }
-    let completion = parse(shape, &body)?;
-    let priority = head.priority.unwrap_or(if completion.stream {
-        Priority::Stream
-    } else {
-        Priority::Panel
-    });
-    let record = StreamRecord {
-        id: node.next_id(),
-        request: head.request,
-        workspace: head.workspace,
-        is_chat: shape == Shape::Chat,
-        body: body.to_vec(),
-        priority,
-        deadline: head.deadline,
-        progress: Progress::default(),
-    };
-    node.budget.lock().unwrap().earn();
-    metrics::counter!("cassialock_requests_total", "node" => node.label(), "kind" => "llm")
-        .increment(1);
-    Ok((Call::new(node, record, head.limits)?, 0))
-}
-
-async fn read_body(body: Incoming) -> Result<Bytes, Refusal> {
-    match web::read(body, MAX_BODY_BYTES).await {
-        Ok(body) => Ok(body),
-        Err(web::ReadError::TooLarge) => {
-            let detail = format!("the body is larger than {MAX_BODY_BYTES} bytes");
-            Err(Refusal::new(Reason::Oversize, detail))
-        }
-        Err(web::ReadError::Cut) => Err(Refusal::new(Reason::Malformed, "the body ended early")),
-    }
-}
-
-fn parse(shape: Shape, body: &[u8]) -> Result<Completion, Refusal> {
-    Completion::parse(shape, body).map_err(|e| Refusal::new(Reason::Malformed, e.to_string()))
-}
-
-fn stopping() -> Refusal {
-    Refusal::new(
-        Reason::Stopping,
-        "the node is stopping; ask /v1/entries for another",
-    )
-    .with_retry_after(Duration::from_secs(1))
-}
-
-fn count_retry(node: &Node, reason: &'static str) {
-    metrics::counter!("cassialock_retries_total", "node" => node.label(), "reason" => reason)
-        .increment(1);
-}
-
 /// Returns the model service that a request names.
 fn service_of<'a>(config: &'a Config, model: &str) -> Result<(&'a Name, &'a Service), Refusal> {
     match config.services.entry(model) {
@@ -202,17 +100,18 @@
 }
 
 impl Call {
-    fn new(
-        node: &Node,
-        record: StreamRecord,
-        limits: crate::core::config::Workspace,
-    ) -> Result<Self, Refusal> {
+    /// Creates the call for a request that is to be answered or gone on with.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal if the request's body cannot be used.
+    pub fn new(node: &Node, record: StreamRecord, limits: Workspace) -> Result<Self, Refusal> {
         let shape = if record.is_chat {
             Shape::Chat
         } else {
             Shape::Text
         };
-        let completion = parse(shape, &record.body)?;
+        let completion = llm::parse(shape, &record.body)?;
         let prompt = format!("{} {}", completion.prompt, completion.continued);
         Ok(Self {
             fingerprint: Fingerprint::new(&record.workspace, &completion.model, &record.body),
@@ -233,7 +132,8 @@
         })
     }
 
-    fn signals(&self, node: &Node) -> Signals {
+    /// Registers the stream and returns what can interrupt it.
+    pub fn signals(&self, node: &Node) -> Signals {
         Signals {
             draining: node.draining.subscribe(),
             released: node.streams.register(&self.record.id),
@@ -247,7 +147,12 @@
     }
 
     /// Answers the request with as many attempts as it takes.
-    async fn run(&mut self, node: &Arc<Node>, sink: &mut dyn Sink, signals: &mut Signals) -> End {
+    pub async fn run(
+        &mut self,
+        node: &Arc<Node>,
+        sink: &mut dyn Sink,
+        signals: &mut Signals,
+    ) -> End {
         if self.record.progress.finish.is_some() {
             return End::Finished;
         }
@@ -476,7 +381,7 @@
         server: &Chosen,
         cause: Cause,
     ) -> Result<(), Refusal> {
-        count_retry(node, cause.as_str());
+        llm::count_retry(node, cause.as_str());
         if cause.blames_version() {
             self.record_answer(node, &server.version, true, Duration::ZERO);
         }
@@ -550,7 +455,8 @@
         tokio::time::sleep(SUSPECT_PAUSE).await;
     }
 
-    fn count_end(&self, node: &Node) {
+    /// Counts the tokens of an answer that has ended.
+    pub fn count_end(&self, node: &Node) {
         let progress = &self.record.progress;
         metrics::counter!("cassialock_tokens_total", "node" => node.label())
             .increment(progress.tokens());
@@ -558,221 +464,3 @@
             .increment(u64::from(progress.recomputed));
     }
 }
-
-/// Answers a caller that waits for the whole answer.
-async fn whole(node: &Arc<Node>, mut call: Call) -> Response<Body> {
-    let mut signals = call.signals(node);
-    let id = call.record.id.clone();
-    let mut sink = Whole;
-    let end = call.run(node, &mut sink, &mut signals).await;
-    node.streams.remove(&id);
-    call.count_end(node);
-    match end {
-        End::Finished => whole_answer(&call),
-        End::Refused(refusal) => refuse::respond(node, &refusal, Some(&call.record.request)),
-        End::CallerGone | End::Released | End::Draining => {
-            refuse::respond(node, &stopping(), Some(&call.record.request))
-        }
-    }
-}
-
-fn whole_answer(call: &Call) -> Response<Body> {
-    let progress = &call.record.progress;
-    let text = progress.text.trim_end();
-    let finish = progress.finish.as_deref();
-    let (object, choice) = match call.completion.shape {
-        Shape::Chat => (
-            "chat.completion",
-            json!({"index": 0, "message": {"role": "assistant", "content": text}, "finish_reason": finish}),
-        ),
-        Shape::Text => (
-            "text_completion",
-            json!({"index": 0, "text": text, "finish_reason": finish}),
-        ),
-    };
-    let prompt = call.route.prompt_tokens;
-    let answer = progress.tokens();
-    let body = json!({
-        "id": &*call.record.request,
-        "object": object,
-        "model": call.completion.model,
-        "choices": [choice],
-        "usage": {
-            "prompt_tokens": prompt,
-            "completion_tokens": answer,
-            "total_tokens": u64::from(prompt) + answer,
-        },
-    });
-    let mut response = web::json(StatusCode::OK, &body);
-    set_request_id(&mut response, &call.record.request);
-    response
-}
-
-fn set_request_id(response: &mut Response<Body>, request: &str) {
-    if let Ok(id) = request.parse() {
-        response.headers_mut().insert("x-request-id", id);
-    }
-}
-
-/// Answers a caller that reads a stream, which begins after index `sent`.
-async fn stream(node: &Arc<Node>, call: Call, sent: u64) -> Response<Body> {
-    let request = call.record.request.clone();
-    let (out, parts) = mpsc::channel(EVENT_QUEUE);
-    let (began, beginning) = oneshot::channel();
-    let sink = Events::new(
-        call.record.id.clone(),
-        request.clone(),
-        call.completion.model.clone(),
-        call.completion.shape,
-        node.clock.now().as_millis() / 1_000,
-        out,
-    )
-    .with_sent(sent);
-    tokio::spawn(run_stream(Arc::clone(node), call, sink, began));
-    match beginning.await {
-        Ok(Ok(())) => {
-            let mut response = web::events(parts);
-            set_request_id(&mut response, &request);
-            response
-        }
-        Ok(Err(refusal)) => refuse::respond(node, &refusal, Some(&request)),
-        Err(_) => refuse::respond(node, &stopping(), Some(&request)),
-    }
-}
-
-/// Reports the beginning of a stream once, at its first token.
-struct Beginning<'a> {
-    events: &'a mut Events,
-    began: Option<oneshot::Sender<Result<(), Refusal>>>,
-}
-
-impl Beginning<'_> {
-    fn begin(&mut self) {
-        if let Some(began) = self.began.take() {
-            // A caller that has gone is noticed by the next token.
-            let _ = began.send(Ok(()));
-        }
-    }
-}
-
-impl Sink for Beginning<'_> {
-    fn token<'a>(
-        &'a mut self,
-        index: u64,
-        text: &'a str,
-    ) -> futures_util::future::BoxFuture<'a, bool> {
-        self.begin();
-        self.events.token(index, text)
-    }
-
-    fn keep_alive(&mut self) -> futures_util::future::BoxFuture<'_, ()> {
-        self.begin();
-        self.events.keep_alive()
-    }
-
-    fn closed(&self) -> futures_util::future::BoxFuture<'_, ()> {
-        self.events.closed()
-    }
-
-    fn can_move(&self) -> bool {
-        true
-    }
-}
-
-async fn run_stream(
-    node: Arc<Node>,
-    mut call: Call,
-    mut events: Events,
-    began: oneshot::Sender<Result<(), Refusal>>,
-) {
-    let _open = node.open_work.guard();
-    let mut signals = call.signals(&node);
-    let mut sink = Beginning {
-        events: &mut events,
-        began: Some(began),
-    };
-    replay(&call.record.progress, &mut sink).await;
-    let end = call.run(&node, &mut sink, &mut signals).await;
-    let began = sink.began.take();
-    call.count_end(&node);
-    let id = call.record.id.clone();
-    match end {
-        End::Finished => {
-            node.streams.remove(&id);
-            report(began, Ok(()));
-            let reason = call.record.progress.finish.as_deref().unwrap_or("stop");
-            events.finish(reason).await;
-        }
-        End::Refused(refusal) => {
-            node.streams.remove(&id);
-            if let Some(began) = began {
-                report(Some(began), Err(refusal));
-            } else {
-                let body = refuse::body(&node, &refusal, Some(&call.record.request));
-                events.end_with("error", &body).await;
-            }
-        }
-        End::CallerGone | End::Released => {
-            let now = node.clock.now();
-            node.streams.insert(call.record, now);
-        }
-        End::Draining => {
-            report(began, Ok(()));
-            hand_over(&node, call, events).await;
-        }
-    }
-}
-
-fn report(began: Option<oneshot::Sender<Result<(), Refusal>>>, result: Result<(), Refusal>) {
-    if let Some(began) = began {
-        // A caller that has gone needs no report.
-        let _ = began.send(result);
-    }
-}
-
-/// Sends what the caller has not received of the progress so far.
-async fn replay(progress: &Progress, sink: &mut Beginning<'_>) {
-    for index in 1..=progress.tokens() {
-        let Some(text) = progress.token(index) else {
-            return;
-        };
-        if !sink.token(index, text).await {
-            return;
-        }
-    }
-}
-
-/// Gives a stream to another node and points the caller there.
-async fn hand_over(node: &Arc<Node>, call: Call, events: Events) {
-    let id = call.record.id.clone();
-    match give_away(node, &call.record).await {
-        Some(address) => {
-            node.streams.remove(&id);
-            let moved = Moved {
-                address,
-                last_id: events.last_id(),
-            };
-            count_retry(node, "drain");
-            events.end_with("moved", &moved).await;
-        }
-        None => {
-            // No other node can take it: the caller finds it here until the end.
-            node.streams.insert(call.record, node.clock.now());
-            events.cut().await;
-        }
-    }
-}
-
-/// Gives a stream to a live node and returns that node's address for callers.
-pub async fn give_away(node: &Arc<Node>, record: &StreamRecord) -> Option<String> {
-    let me = node.settings.id.clone();
-    let mut targets = node.roster.lock().unwrap().entries(&record.workspace);
-    targets.extend(node.roster.lock().unwrap().live());
-    for target in targets.iter().filter(|member| member.id != me) {
-        let call = PeerCall::TakeStream(record.clone());
-        if let Ok(Answer::Done) = node.peers.call(&target.peer, &call).await {
-            return Some(target.address.to_string());
-        }
-    }
-    None
-}
--- a/src/node/callers/mod.rs
+++ b/src/node/callers/mod.rs
@@ -1,7 +1,9 @@
 //! HTTP for callers and operators.
 
 use std::sync::Arc;
+use std::time::Duration;
 
+use bytes::Bytes;
 use http::Method;
 use http::Request;
 use http::Response;
@@ -62,3 +64,28 @@
         web::text(StatusCode::OK, "ready\n")
     }
 }
+
+/// Reads the body of a request.
+///
+/// # Errors
+///
+/// Returns a refusal if the body is too large or ended early.
+pub async fn read_body(body: Incoming) -> Result<Bytes, Refusal> {
+    match web::read(body, MAX_BODY_BYTES).await {
+        Ok(body) => Ok(body),
+        Err(web::ReadError::TooLarge) => {
+            let detail = format!("the body is larger than {MAX_BODY_BYTES} bytes");
+            Err(Refusal::new(Reason::Oversize, detail))
+        }
+        Err(web::ReadError::Cut) => Err(Refusal::new(Reason::Malformed, "the body ended early")),
+    }
+}
+
+/// Returns the refusal of a node that is stopping.
+pub fn stopping() -> Refusal {
+    Refusal::new(
+        Reason::Stopping,
+        "the node is stopping; ask /v1/entries for another",
+    )
+    .with_retry_after(Duration::from_secs(1))
+}
--- a/src/node/callers/plain.rs
+++ b/src/node/callers/plain.rs
@@ -37,7 +37,7 @@
 use crate::node::backends::Seat;
 use crate::node::backends::plain;
 use crate::node::backends::plain::Answer;
-use crate::node::callers::MAX_BODY_BYTES;
+use crate::node::callers;
 use crate::node::callers::head::Head;
 use crate::node::callers::refuse;
 use crate::node::once::Once;
@@ -111,11 +111,7 @@
 
 async fn open(node: &Arc<Node>, head: Head, request: Request<Incoming>) -> Result<Call, Refusal> {
     if node.is_draining() {
-        return Err(Refusal::new(
-            Reason::Stopping,
-            "the node is stopping; ask /v1/entries for another",
-        )
-        .with_retry_after(Duration::from_secs(1)));
+        return Err(callers::stopping());
     }
     let installed = node.config.load();
     let path = request.uri().path().to_string();
@@ -138,16 +134,7 @@
         None => rest.to_string(),
     };
     let headers = plain::strip(request.headers());
-    let body = match web::read(request.into_body(), MAX_BODY_BYTES).await {
-        Ok(body) => body,
-        Err(web::ReadError::TooLarge) => {
-            let detail = format!("the body is larger than {MAX_BODY_BYTES} bytes");
-            return Err(Refusal::new(Reason::Oversize, detail));
-        }
-        Err(web::ReadError::Cut) => {
-            return Err(Refusal::new(Reason::Malformed, "the body ended early"));
-        }
-    };
+    let body = callers::read_body(request.into_body()).await?;
     node.budget.lock().unwrap().earn();
     metrics::counter!("cassialock_requests_total", "node" => node.label(), "kind" => "plain")
         .increment(1);
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -370,7 +370,10 @@
         tokio::time::sleep(LEAVE_PAUSE).await;
         node.draining.send_replace(true);
         for record in node.streams.take_detached() {
-            if callers::llm::give_away(node, &record).await.is_none() {
+            if callers::llm::reply::give_away(node, &record)
+                .await
+                .is_none()
+            {
                 node.streams.insert(record, node.clock.now());
             }
         }
--- a/tests/decisions/member.rs
+++ b/tests/decisions/member.rs
@@ -92,12 +92,21 @@
     let mut roster = roster(3);
     let mut now = Time::from_millis(1_000);
     roster.record_heartbeat(&member(1), now);
-    let mut facts = 0;
+    let mut subjects = Vec::new();
     for _ in 0..20 {
         now = now + Duration::from_millis(500);
-        facts += roster.round(now).facts.len();
+        for fact in roster.round(now).facts {
+            if let Fact::Suspect { subject, .. } = fact {
+                subjects.push(subject.to_string());
+            }
+        }
     }
-    assert_eq!(facts, 1);
+    subjects.sort();
+    assert_eq!(
+        subjects,
+        ["n1", "n2"],
+        "each once, also the one never heard"
+    );
 }
 
 #[test]
--- /dev/null
+++ b/tests/regression/first_heartbeat.rs
@@ -0,0 +1,19 @@
+//! A node frozen before its first heartbeat was never missed.
+
+use std::time::Duration;
+
+use cassialock::core::time::Time;
+
+use crate::members::roster;
+
+#[test]
+fn a_member_that_stops_before_its_first_heartbeat_is_missed() {
+    let mut now = Time::from_millis(1_000);
+    let mut roster = roster(3);
+    let mut suspected = Vec::new();
+    for _ in 0..10 {
+        now = now + Duration::from_millis(500);
+        suspected.extend(roster.round(now).facts);
+    }
+    assert_eq!(suspected.len(), 2, "both others were never heard");
+}
--- /dev/null
+++ b/tests/regression/main.rs
@@ -0,0 +1,5 @@
+//! One file for each fixed bug.
+
+mod changed_ring;
+mod first_heartbeat;
+mod members;
