Measure the memory of streams at the pace of real tokens

Cause: 109 KiB for an open stream might have been tokens piled up at 1 ms each. Change: overhead measures memory on an engine of 38 ms a token, after buffers have filled. Ruled out: connection buffers, sizes of the tasks (3.8 and 6.4 KB), allocator arenas.

--- a/src/load/run.rs
+++ b/src/load/run.rs
@@ -41,6 +41,12 @@
 /// Longest time that a histogram tells apart, in microseconds.
 const MAX_MICROS: u64 = 60_000_000;
 
+/// Time between two tokens of the streams whose memory is measured.
+const TOKEN_PACE: Duration = Duration::from_millis(38);
+
+/// Time in which the buffers of unread streams fill up.
+const SETTLE_TIME: Duration = Duration::from_secs(4);
+
 /// Requests measured one after the other for the added latency.
 const PROBES: usize = 400;
 
@@ -234,15 +240,14 @@
 ///
 /// Returns an error if the deployment did not start.
 pub async fn overhead() -> Result<Overhead, Error> {
-    let mut shape = Shape::hanul().with_engines(1).with_nodes(1);
-    shape.costs.step_us = 1_000;
-    shape.costs.request_us = 0;
-    shape.costs.max_batch = 4_096;
-    let deployment = Deployment::start(shape).await?;
+    // First, while no freed memory is left that could be used again.
+    let paced = Deployment::start(one_engine(TOKEN_PACE)).await?;
+    let engine = paced.backends[0].vm.address.to_string();
+    let stream_bytes = stream_memory(&paced, &engine, &paced.entries()[0]).await;
+    paced.stop().await;
+    let deployment = Deployment::start(one_engine(Duration::from_millis(1))).await?;
     let engine = deployment.backends[0].vm.address.to_string();
     let node = deployment.entries()[0].clone();
-    // First, while no freed memory is left that could be used again.
-    let stream_bytes = stream_memory(&deployment, &engine, &node).await;
     let mut direct = Vec::new();
     let mut through = Vec::new();
     // In turn, so that a busy machine slows both alike.
@@ -265,6 +270,16 @@
     Ok(overhead)
 }
 
+/// Returns one engine and one node, where every token takes `step`.
+fn one_engine(step: Duration) -> Shape {
+    let mut shape = Shape::hanul().with_engines(1).with_nodes(1);
+    shape.costs.step_us = step.as_micros() as u64;
+    shape.costs.request_us = 0;
+    shape.costs.prefill_us = 1;
+    shape.costs.max_batch = 4_096;
+    shape
+}
+
 fn stream_request(
     address: &str,
     at: usize,
@@ -357,6 +372,8 @@
                 held.push(body);
             }
         }
+        // Buffers and queues fill up to their bounds before they are measured.
+        tokio::time::sleep(SETTLE_TIME).await;
         let opened = held.len() - used.len() * STREAMS;
         used.push((resident_bytes() - before) / opened.max(1) as f64);
     }
