--- a/src/bin/cassialock-load.rs
+++ b/src/bin/cassialock-load.rs
@@ -342,7 +342,7 @@
         rate: flags.rate,
         span: Duration::from_secs(flags.seconds),
         seed: flags.seed,
-        customers: 40,
+        prefixes: 40,
     };
     let mut rows = Vec::new();
     let mut outcomes = Vec::new();
--- a/src/core/member/mod.rs
+++ b/src/core/member/mod.rs
@@ -8,6 +8,7 @@
 use serde::Serialize;
 
 use crate::core::Name;
+use crate::core::route::subset::Placed;
 use crate::core::time::Time;
 
 pub mod gossip;
@@ -46,3 +47,13 @@
     /// It has stopped.
     Gone,
 }
+
+impl Member {
+    /// Returns what rendezvous hashing needs to know of the member.
+    pub fn placed(&self) -> Placed {
+        Placed {
+            id: self.id.clone(),
+            domain: self.domain.clone(),
+        }
+    }
+}
--- a/src/core/member/roster.rs
+++ b/src/core/member/roster.rs
@@ -388,12 +388,9 @@
     pub fn is_relay(&self) -> bool {
         let items: Vec<subset::Placed> = self
             .live()
-            .into_iter()
+            .iter()
             .filter(|member| member.domain == self.me.domain)
-            .map(|member| subset::Placed {
-                id: member.id,
-                domain: member.domain,
-            })
+            .map(Member::placed)
             .collect();
         subset::pick("relay", &items, RELAYS).contains(&self.me.id)
     }
@@ -401,13 +398,7 @@
     /// Returns the entry nodes for a workspace, of the live ones.
     pub fn entries(&self, workspace: &str) -> Vec<Member> {
         let live = self.live();
-        let items: Vec<subset::Placed> = live
-            .iter()
-            .map(|member| subset::Placed {
-                id: member.id.clone(),
-                domain: member.domain.clone(),
-            })
-            .collect();
+        let items: Vec<subset::Placed> = live.iter().map(Member::placed).collect();
         subset::pick(workspace, &items, subset::MAX_ENTRIES)
             .iter()
             .filter_map(|id| live.iter().find(|member| member.id == *id).cloned())
--- a/src/demo/mod.rs
+++ b/src/demo/mod.rs
@@ -157,7 +157,7 @@
         model: deployment.shape.model,
         kind: Kind::Survey,
         at: 0,
-        customer: 0,
+        prefix: 0,
         max_tokens: 24,
         stream: true,
     });
@@ -217,7 +217,7 @@
         model,
         kind: if is_survey { Kind::Survey } else { Kind::Label },
         at,
-        customer: at % 6,
+        prefix: at % 6,
         max_tokens: if is_survey { 40 } else { 20 },
         stream: at % 4 != 3,
     })
--- a/src/load/matrix/traffic.rs
+++ b/src/load/matrix/traffic.rs
@@ -177,7 +177,7 @@
             Kind::Label
         },
         at,
-        customer: at % 5,
+        prefix: at % 5,
         max_tokens: 20 + (at % 4) as u32 * 20,
         stream: at % 4 != 3,
     })
--- a/src/load/run.rs
+++ b/src/load/run.rs
@@ -59,8 +59,8 @@
     pub span: Duration,
     /// Seed of the arrivals and the mix.
     pub seed: u64,
-    /// Customers, each with a prompt prefix of its own.
-    pub customers: usize,
+    /// Prompt prefixes that requests share.
+    pub prefixes: usize,
 }
 
 /// What a load gave.
@@ -118,11 +118,11 @@
     let mut at = 0;
     while next < end {
         tokio::time::sleep_until(next).await;
-        // A large customer sends half of the requests.
-        let customer = if rng.random_bool(0.5) {
+        // Half of the requests share one prefix.
+        let prefix = if rng.random_bool(0.5) {
             0
         } else {
-            rng.random_range(0..plan.customers)
+            rng.random_range(0..plan.prefixes)
         };
         let body = texts::chat_body(&Ask {
             model: deployment.shape.model,
@@ -132,12 +132,12 @@
                 Kind::Label
             },
             at,
-            customer,
+            prefix,
             max_tokens: rng.random_range(10..60),
             stream: true,
         });
         prompt_tokens += body.split(|byte| *byte == b' ').count() as u64;
-        let caller = callers[customer % callers.len()].clone();
+        let caller = callers[prefix % callers.len()].clone();
         open.spawn(async move { caller.complete(&body, DEADLINE, None).await });
         let gap = -(1.0 - rng.random::<f64>()).ln() / plan.rate;
         next += Duration::from_secs_f64(gap);
@@ -289,7 +289,7 @@
         model: "cassia-pool",
         kind: Kind::Label,
         at: 0,
-        customer: 0,
+        prefix: 0,
         max_tokens,
         stream: true,
     });
--- a/src/load/texts.rs
+++ b/src/load/texts.rs
@@ -43,8 +43,8 @@
     pub kind: Kind,
     /// Number of the text.
     pub at: usize,
-    /// Number of the customer, who shares a prompt prefix with itself.
-    pub customer: usize,
+    /// Number of the prompt prefix.
+    pub prefix: usize,
     /// Tokens of the answer.
     pub max_tokens: u32,
     /// Whether the answer is streamed.
@@ -53,14 +53,14 @@
 
 /// Returns the body of a chat request.
 pub fn chat_body(ask: &Ask<'_>) -> Vec<u8> {
-    let customer = format!("Customer {} asks. {PREAMBLE}", ask.customer);
+    let prefix = format!("Site {} asks. {PREAMBLE}", ask.prefix);
     let question = format!("{} (question {})", text(ask.kind, ask.at), ask.at);
     json!({
         "model": ask.model,
         "stream": ask.stream,
         "max_tokens": ask.max_tokens,
         "messages": [
-            {"role": "system", "content": customer},
+            {"role": "system", "content": prefix},
             {"role": "user", "content": question},
         ],
     })
--- a/src/node/once.rs
+++ b/src/node/once.rs
@@ -8,6 +8,7 @@
 use tokio::time::Instant;
 
 use crate::core::Name;
+use crate::core::member::Member;
 use crate::core::once::Change;
 use crate::core::once::Effect;
 use crate::core::once::SHARDS;
@@ -129,13 +130,7 @@
 fn owner_of(node: &Node, shard: u64) -> Option<Name> {
     let roster = node.roster.lock().unwrap();
     let live = roster.live();
-    let items: Vec<subset::Placed> = live
-        .iter()
-        .map(|member| subset::Placed {
-            id: member.id.clone(),
-            domain: member.domain.clone(),
-        })
-        .collect();
+    let items: Vec<subset::Placed> = live.iter().map(Member::placed).collect();
     let owner = subset::pick(&format!("once/{shard}"), &items, 1);
     let member = live
         .iter()
--- a/tests/system/path.rs
+++ b/tests/system/path.rs
@@ -20,7 +20,7 @@
         model: "cassia-pool",
         kind: Kind::Label,
         at,
-        customer: at % 3,
+        prefix: at % 3,
         max_tokens,
         stream,
     })
