Share the members of two test programs; drop an unused method

The other repeats found are lists of flags, imports and constants. Conclusion: no behaviour changed.

--- a/src/core/limit/gate.rs
+++ b/src/core/limit/gate.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use crate::core::Name;
 use crate::core::limit::Ticket;
 use crate::core::refusal::Reason;
 use crate::core::refusal::Refusal;
@@ -225,16 +224,4 @@
         self.queued_work += u64::from(ticket.work);
         self.queue.insert(at, Waiting { ticket, finish_tag });
     }
-
-    /// Returns the workspaces that have a request in the queue.
-    pub fn workspaces(&self) -> Vec<Name> {
-        let mut names: Vec<Name> = self
-            .queue
-            .iter()
-            .map(|waiting| waiting.ticket.workspace.clone())
-            .collect();
-        names.sort();
-        names.dedup();
-        names
-    }
 }
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -6,6 +6,8 @@
 mod lease;
 mod limit;
 mod member;
+#[path = "../regression/members.rs"]
+mod members;
 mod moves;
 mod once;
 mod retry;
--- a/tests/decisions/member.rs
+++ b/tests/decisions/member.rs
@@ -13,17 +13,8 @@
 use cassialock::core::moves::Veto;
 use cassialock::core::time::Time;
 
-fn member(at: usize) -> Member {
-    Member {
-        id: format!("n{at}").into(),
-        incarnation: 1,
-        state: State::Live,
-        at: Time::default(),
-        address: format!("127.0.0.1:{at}").into(),
-        peer: format!("127.0.1.1:{at}").into(),
-        domain: format!("d{}", at % 3).into(),
-    }
-}
+use crate::members::member;
+use crate::members::roster;
 
 fn suspect(subject: &str, observer: &str, domain: &str) -> Fact {
     Fact::Suspect {
@@ -35,14 +26,6 @@
     }
 }
 
-fn roster(count: usize) -> Roster {
-    let mut roster = Roster::new(member(0));
-    for at in 1..count {
-        roster.take(&Fact::Member(member(at)));
-    }
-    roster
-}
-
 #[test]
 fn suspicion_needs_observers_of_two_domains() {
     let mut roster = roster(9);
--- a/tests/regression/members.rs
+++ b/tests/regression/members.rs
@@ -1,4 +1,4 @@
-//! The members that the regression tests of membership use.
+//! Members for the tests of membership, shared by two test programs.
 
 use cassialock::core::member::Member;
 use cassialock::core::member::State;
