--- a/src/bin/cassialockd.rs
+++ b/src/bin/cassialockd.rs
@@ -1,16 +1,35 @@
 //! The node daemon.
 
+use std::path::Path;
+use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::Arc;
 use std::time::Duration;
 
+use cassialock::clock::Clock;
+use cassialock::entry;
+use cassialock::entry::Entry;
 use cassialock::error::Category;
 use cassialock::error::Error;
 use cassialock::node;
 use cassialock::node::settings::Settings;
+use cassialock::platform;
+use cassialock::platform::boot;
+use cassialock::telemetry;
+use cassialock::telemetry::events::Events;
+use cassialock::telemetry::events::Line;
 use error_stack::Report;
 use gumdrop::Options;
+use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
+use tokio::sync::watch;
+
+/// Time between two looks at whether the settings file has changed.
+const RELOAD_STEP: Duration = Duration::from_secs(2);
+
+/// Time between two looks at whether the entry has ended by itself.
+const FAILED_STEP: Duration = Duration::from_secs(1);
 
 /// Flags of `cassialockd`; `settings::SETTINGS` says what each does.
 #[derive(Debug, Options)]
@@ -106,6 +125,9 @@
 
 fn main() -> ExitCode {
     let flags = Flags::parse_args_default_or_exit();
+    if let Some(path) = boot::path() {
+        return run_entry(&path, flags.check);
+    }
     let read = Settings::read(&|flag| flags.get(flag), &|name| std::env::var(name).ok());
     let settings = match read {
         Ok(settings) => settings,
@@ -132,6 +154,103 @@
     }
 }
 
+/// Runs an entry on the platform that placed the settings file at `path`.
+fn run_entry(path: &Path, is_check: bool) -> ExitCode {
+    let settings = match boot::read(path) {
+        Ok(settings) => settings,
+        Err(fault) => {
+            eprintln!("cassialockd: {fault}");
+            return ExitCode::from(2);
+        }
+    };
+    if is_check {
+        println!("all settings are valid");
+        return ExitCode::SUCCESS;
+    }
+    // One thread serves best where a VM gives less than a core.
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let served = match runtime {
+        Ok(runtime) => runtime.block_on(serve_entry(path, settings)),
+        Err(e) => Err(Report::new(Error::io("runtime", &e))),
+    };
+    match served {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("cassialockd: {report:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn serve_entry(
+    path: &Path,
+    settings: entry::settings::Settings,
+) -> Result<(), Report<Error>> {
+    // Set before the first counter is used.
+    telemetry::metrics::shared();
+    let clock = Clock::new();
+    let events = Events::new(settings.node.clone(), clock);
+    let outside = platform::connect(&settings);
+    let entry = Arc::new(Entry::new(settings, outside, events, clock));
+    let signalled = |e| Report::new(Error::io("signals", &e));
+    let mut term = signal(SignalKind::terminate()).map_err(signalled)?;
+    let mut int = signal(SignalKind::interrupt()).map_err(signalled)?;
+    let hangup = signal(SignalKind::hangup()).map_err(signalled)?;
+    let (stop, stopped) = watch::channel(false);
+    let running = tokio::spawn(entry::run(Arc::clone(&entry), stopped));
+    let reloading = tokio::spawn(reload(Arc::clone(&entry), path.to_path_buf(), hangup));
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+        () = failed(&running) => {}
+    }
+    stop.send_replace(true);
+    let ended = running.await;
+    reloading.abort();
+    entry.events.flush().await;
+    match ended {
+        Ok(ended) => ended.map_err(|e| Report::new(e).attach("while the entry ran")),
+        Err(e) => Err(Report::new(Error::unavailable("entry", e.to_string()))),
+    }
+}
+
+/// Waits until the entry has ended by itself.
+async fn failed<T>(running: &tokio::task::JoinHandle<T>) {
+    while !running.is_finished() {
+        tokio::time::sleep(FAILED_STEP).await;
+    }
+}
+
+/// Reads the settings again at SIGHUP, and when the file has changed without one.
+async fn reload(entry: Arc<Entry>, path: PathBuf, mut hangup: Signal) {
+    let modified = |path: &Path| {
+        std::fs::metadata(path)
+            .and_then(|data| data.modified())
+            .ok()
+    };
+    let mut known = modified(&path);
+    loop {
+        let is_asked = tokio::select! {
+            _ = hangup.recv() => true,
+            () = tokio::time::sleep(RELOAD_STEP) => false,
+        };
+        let now = modified(&path);
+        if !is_asked && now == known {
+            continue;
+        }
+        known = now;
+        match boot::read(&path) {
+            Ok(settings) => entry.reload(settings),
+            Err(fault) => {
+                let line = Line::new("settings_unusable").with("reason", fault.to_string());
+                entry.events.write(line);
+            }
+        }
+    }
+}
+
 fn run(settings: Settings) -> Result<(), Report<Error>> {
     node::log::init(settings.log_format, settings.log_level).map_err(Report::new)?;
     let runtime = tokio::runtime::Runtime::new()
--- a/src/core/fleet/mod.rs
+++ b/src/core/fleet/mod.rs
@@ -10,6 +10,7 @@
 use crate::core::Name;
 use crate::core::route::servers::Class;
 
+pub mod orders;
 pub mod starts;
 
 /// Load at which servers still meet the latency target, as a part of their slots.
--- /dev/null
+++ b/src/core/fleet/orders.rs
@@ -0,0 +1,238 @@
+//! How many backend servers to order in each failure domain.
+//!
+//! The orders answer the loss of all reclaimable servers of one failure domain
+//! at once, with none to be had there for a while: the other domains together
+//! hold the load, and servers on demand are ordered when the notice comes, not
+//! after the loss.
+
+use std::time::Duration;
+
+use crate::core::Name;
+use crate::core::catalog::Scale;
+use crate::core::route::servers::Class;
+use crate::core::time::Time;
+
+/// Requests at one server at which all of them still meet their targets.
+const COMFORT: f64 = 14.0;
+
+/// Part of the slots of a server that is used at most.
+const SLOT_PART: f64 = 0.7;
+
+/// Returns the servers that carry `running` requests at the same time.
+pub fn needed(running: f64, slots: u32) -> u32 {
+    let comfort = COMFORT.min(f64::from(slots) * SLOT_PART).max(1.0);
+    (running / comfort).ceil().max(1.0) as u32
+}
+
+/// Time after a refused order until reclaimable servers are asked for again.
+const REFUSED_REST: Duration = Duration::from_secs(4);
+
+/// Time added to the start-up time before an order that shows no effect is
+/// sent again.
+const REPEAT_SLACK: Duration = Duration::from_secs(3);
+
+/// Time for which servers must have been too many before fewer are ordered.
+const SHRINK_AFTER: Duration = Duration::from_secs(6);
+
+/// The servers of a service in one failure domain.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Stock {
+    /// The failure domain.
+    pub domain: Name,
+    /// Reclaimable servers that serve and were not told to leave.
+    pub reclaimable: u32,
+    /// Servers on demand that serve and were not told to leave.
+    pub on_demand: u32,
+    /// Reclaimable servers that are under notice.
+    pub noticed: u32,
+}
+
+/// An order for a number of servers of one class in one failure domain.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Order {
+    /// The failure domain.
+    pub domain: Name,
+    /// Class of the servers.
+    pub class: Class,
+    /// How many there shall be.
+    pub count: u32,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Row {
+    domain: Name,
+    reclaimable: Asked,
+    on_demand: Asked,
+    /// Until when reclaimable servers are not to be had.
+    dry_until: Time,
+    surplus_since: Option<Time>,
+}
+
+/// What was asked for last.
+#[derive(Clone, Copy, Debug, Default)]
+struct Asked {
+    count: Option<u32>,
+    at: Time,
+}
+
+/// Decides on the orders for one service.
+#[derive(Clone, Debug, Default)]
+pub struct Planner {
+    rows: Vec<Row>,
+}
+
+impl Planner {
+    /// Creates a planner that has ordered nothing.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Records that reclaimable servers are not to be had in a domain.
+    pub fn record_refused(&mut self, domain: &Name, now: Time) {
+        let row = self.row(domain);
+        row.dry_until = now + REFUSED_REST;
+        row.reclaimable.count = None;
+    }
+
+    /// Records that an order got no answer, so that it is sent again.
+    pub fn record_lost(&mut self, order: &Order) {
+        self.row(&order.domain).asked(order.class).count = None;
+    }
+
+    fn row(&mut self, domain: &Name) -> &mut Row {
+        let at = match self.rows.binary_search_by(|row| row.domain.cmp(domain)) {
+            Ok(at) => at,
+            Err(at) => {
+                let row = Row {
+                    domain: domain.clone(),
+                    ..Row::default()
+                };
+                self.rows.insert(at, row);
+                at
+            }
+        };
+        &mut self.rows[at]
+    }
+
+    /// Returns the orders to send now, when `needed` servers carry the load.
+    pub fn orders(
+        &mut self,
+        scale: &Scale,
+        stocks: &[Stock],
+        needed: u32,
+        now: Time,
+    ) -> Vec<Order> {
+        let mut orders = Vec::new();
+        let has_reclaimable = scale.reclaimable_price.is_some();
+        let spread = stocks.len().saturating_sub(1).max(1) as u32;
+        let target = if has_reclaimable {
+            needed.div_ceil(spread)
+        } else {
+            needed.div_ceil(stocks.len().max(1) as u32)
+        };
+        let target = target.clamp(scale.min.max(1), scale.max);
+        for stock in stocks.iter().filter(|stock| stock.noticed > 0) {
+            let row = self.row(&stock.domain);
+            row.dry_until = row.dry_until.max(now + REFUSED_REST);
+            row.reclaimable.count = None;
+        }
+        let carried: u32 = stocks.iter().map(|stock| stock.reclaimable).sum();
+        let mut shortage = needed.saturating_sub(carried);
+        let mut by_price: Vec<&Stock> = stocks.iter().collect();
+        by_price.sort_by(|a, b| price(scale, &a.domain).total_cmp(&price(scale, &b.domain)));
+        for stock in by_price {
+            let is_dry = self.row(&stock.domain).dry_until > now;
+            let mut reclaimable = if has_reclaimable { target } else { 0 };
+            let room = scale.max.saturating_sub(stock.reclaimable);
+            let mut on_demand = if has_reclaimable {
+                shortage.min(room).min(target)
+            } else {
+                target
+            };
+            if is_dry {
+                reclaimable = stock.reclaimable;
+            }
+            // The bounds hold for both classes together.
+            if on_demand + stock.reclaimable < scale.min {
+                on_demand = scale.min - stock.reclaimable;
+            }
+            shortage = shortage.saturating_sub(on_demand);
+            reclaimable = reclaimable.min(scale.max.saturating_sub(stock.on_demand.max(on_demand)));
+            let on_demand = self.keep_surplus(stock, on_demand, now);
+            if !is_dry && has_reclaimable {
+                self.push(
+                    &mut orders,
+                    scale,
+                    stock,
+                    Class::Reclaimable,
+                    reclaimable,
+                    now,
+                );
+            }
+            self.push(&mut orders, scale, stock, Class::OnDemand, on_demand, now);
+        }
+        orders
+    }
+
+    /// Returns the servers on demand to order, which fall only after a while.
+    fn keep_surplus(&mut self, stock: &Stock, wanted: u32, now: Time) -> u32 {
+        let row = self.row(&stock.domain);
+        if wanted >= stock.on_demand {
+            row.surplus_since = None;
+            return wanted;
+        }
+        let since = *row.surplus_since.get_or_insert(now);
+        if now.since(since) >= SHRINK_AFTER {
+            wanted
+        } else {
+            stock.on_demand
+        }
+    }
+
+    /// Adds an order unless the same was sent lately or is in effect.
+    fn push(
+        &mut self,
+        orders: &mut Vec<Order>,
+        scale: &Scale,
+        stock: &Stock,
+        class: Class,
+        count: u32,
+        now: Time,
+    ) {
+        let there = match class {
+            Class::Reclaimable => stock.reclaimable,
+            Class::OnDemand => stock.on_demand,
+        };
+        let asked = self.row(&stock.domain).asked(class);
+        let is_repeat = asked.count == Some(count);
+        let is_pending = now.since(asked.at) < scale.boot + REPEAT_SLACK;
+        if (is_repeat && is_pending)
+            || (asked.count.is_none_or(|last| last == count) && there == count)
+        {
+            return;
+        }
+        *asked = Asked {
+            count: Some(count),
+            at: now,
+        };
+        orders.push(Order {
+            domain: stock.domain.clone(),
+            class,
+            count,
+        });
+    }
+}
+
+impl Row {
+    fn asked(&mut self, class: Class) -> &mut Asked {
+        match class {
+            Class::Reclaimable => &mut self.reclaimable,
+            Class::OnDemand => &mut self.on_demand,
+        }
+    }
+}
+
+/// Returns the price of a server-second on demand in a failure domain.
+fn price(scale: &Scale, domain: &str) -> f64 {
+    scale.domain_prices.get(domain).copied().unwrap_or(1.0)
+}
--- a/src/core/lease/mod.rs
+++ b/src/core/lease/mod.rs
@@ -32,6 +32,30 @@
 /// Longest time for which an order may be on its way.
 pub const ORDER_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// The times of a lease.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Terms {
+    /// Time for which the lease is given.
+    pub term: Duration,
+    /// Time between two renewals.
+    pub renewal: Duration,
+    /// Part of the term that the holder does not use.
+    pub margin: Duration,
+    /// Longest time for which an order may be on its way.
+    pub order: Duration,
+}
+
+impl Default for Terms {
+    fn default() -> Self {
+        Self {
+            term: TERM,
+            renewal: RENEWAL,
+            margin: MARGIN,
+            order: ORDER_TIMEOUT,
+        }
+    }
+}
+
 /// The content of a lease object.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Lease {
@@ -43,6 +67,20 @@
     pub renewal: u64,
 }
 
+impl Lease {
+    /// Returns the lease as its holder gives it back.
+    #[must_use]
+    pub fn released(mut self) -> Self {
+        self.holder = Name::default();
+        self
+    }
+
+    /// Returns whether the last holder has given the lease back.
+    pub fn is_released(&self) -> bool {
+        self.holder.is_empty()
+    }
+}
+
 /// What a node should do about a duty now.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Step {
@@ -74,6 +112,7 @@
 pub struct Duty {
     me: Name,
     fencing: Fencing,
+    terms: Terms,
     seen: Option<Seen>,
     held_until: Option<Time>,
     acts_from: Time,
@@ -86,6 +125,7 @@
         Self {
             me,
             fencing,
+            terms: Terms::default(),
             seen: None,
             held_until: None,
             acts_from: Time::default(),
@@ -93,6 +133,13 @@
         }
     }
 
+    /// Sets the times of the lease.
+    #[must_use]
+    pub fn with_terms(mut self, terms: Terms) -> Self {
+        self.terms = terms;
+        self
+    }
+
     /// Takes over the lease object as read at `now`.
     pub fn record_read(&mut self, lease: Option<Lease>, now: Time) {
         let Some(lease) = lease else {
@@ -123,9 +170,9 @@
         if !was_held && self.fencing == Fencing::Ignored {
             // Servers that do not check could still get an order of the holder
             // before, sent at the end of its term.
-            self.acts_from = sent + MARGIN + ORDER_TIMEOUT;
+            self.acts_from = sent + self.terms.margin + self.terms.order;
         }
-        self.held_until = Some(sent + (TERM - MARGIN));
+        self.held_until = Some(sent + (self.terms.term - self.terms.margin));
         self.seen = Some(Seen {
             lease,
             moved_at: sent,
@@ -151,7 +198,11 @@
                 fence: 1,
                 renewal: 0,
             },
-            Some(seen) if now.since(seen.moved_at) < TERM => return Step::Wait,
+            Some(seen)
+                if !seen.lease.is_released() && now.since(seen.moved_at) < self.terms.term =>
+            {
+                return Step::Wait;
+            }
             Some(seen) => Lease {
                 holder: self.me.clone(),
                 fence: seen.lease.fence + 1,
@@ -172,7 +223,7 @@
         }
         let is_due = self
             .last_write
-            .is_none_or(|last| now.since(last) >= RENEWAL);
+            .is_none_or(|last| now.since(last) >= self.terms.renewal);
         if wanted && is_due {
             let mut next = seen.lease.clone();
             next.renewal += 1;
@@ -196,10 +247,45 @@
     ///
     /// Asked again after every wait, just before the order goes out.
     pub fn may_order(&self, now: Time) -> bool {
-        let holds = |until| now + ORDER_TIMEOUT <= until;
+        let holds = |until| now + self.terms.order <= until;
         self.held_until.is_some_and(holds) && now >= self.acts_from
     }
 
+    /// Takes over the lease as another node tells it, which may be late.
+    ///
+    /// Only what is newer than what is known counts as a move of the lease.
+    pub fn record_heard(&mut self, lease: Lease, now: Time) {
+        let is_newer = self.seen.as_ref().is_none_or(|seen| {
+            (lease.fence, lease.renewal) > (seen.lease.fence, seen.lease.renewal)
+        });
+        if is_newer {
+            self.record_read(Some(lease), now);
+        }
+    }
+
+    /// Returns whether this node holds the lease.
+    pub fn is_held(&self, now: Time) -> bool {
+        self.held_until.is_some_and(|until| now < until)
+    }
+
+    /// Returns whether the lease could be taken, as far as is known.
+    pub fn is_free(&self, now: Time) -> bool {
+        self.seen.as_ref().is_none_or(|seen| {
+            seen.lease.is_released() || now.since(seen.moved_at) >= self.terms.term
+        })
+    }
+
+    /// Returns the node that held the lease when it was last seen.
+    pub fn holder(&self) -> Option<&Name> {
+        self.seen.as_ref().map(|seen| &seen.lease.holder)
+    }
+
+    /// Returns the lease to write in order to give it back, if it is held.
+    pub fn release(&mut self) -> Option<Lease> {
+        self.held_until.take()?;
+        self.seen.as_ref().map(|seen| seen.lease.clone().released())
+    }
+
     /// Returns the fencing number of the lease last seen.
     pub fn fence(&self) -> u64 {
         self.seen.as_ref().map_or(0, |seen| seen.lease.fence)
--- a/src/core/limit/bucket.rs
+++ b/src/core/limit/bucket.rs
@@ -29,6 +29,20 @@
         }
     }
 
+    /// Sets what is in the bucket, up to its size.
+    #[must_use]
+    pub fn with_level(mut self, level: f64) -> Self {
+        // INVARIANT: bounded by the size of the bucket.
+        self.level = level.min(self.rate * self.burst_s);
+        self
+    }
+
+    /// Returns what is in the bucket.
+    pub fn level(&mut self, now: Time) -> f64 {
+        self.refill(now);
+        self.level
+    }
+
     /// Changes the rate; what is in the bucket stays, up to the new size.
     pub fn set_rate(&mut self, rate: f64, now: Time) {
         self.refill(now);
--- a/src/core/limit/mod.rs
+++ b/src/core/limit/mod.rs
@@ -14,6 +14,7 @@
 
 pub mod bucket;
 pub mod gate;
+pub mod quota;
 
 /// The order in which kinds of work are served.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
--- /dev/null
+++ b/src/core/limit/quota.rs
@@ -0,0 +1,98 @@
+//! A workspace's quota, divided over the nodes.
+
+use std::time::Duration;
+
+use crate::core::limit::bucket::Bucket;
+use crate::core::time::Time;
+
+/// Part of the quota that is divided equally; the rest follows the demand.
+///
+/// The equal part lets a node take the first requests of a workspace before
+/// the others have heard of its demand.
+const EQUAL_PART: f64 = 0.4;
+
+/// Time constant of the measured demand.
+const DEMAND_SPAN: Duration = Duration::from_secs(2);
+
+/// Part of the burst that a node has when it starts, since the process before
+/// it may have used the rest.
+const START_LEVEL: f64 = 0.3;
+
+/// Returns the part of a quota that a node may use.
+///
+/// `own` and `all` are the demand at the node and at all `nodes` together.
+/// The parts of all nodes add up to one when they know the same figures.
+pub fn share(own: f64, all: f64, nodes: usize) -> f64 {
+    let equal = 1.0 / nodes.max(1) as f64;
+    if all <= 0.0 {
+        return equal;
+    }
+    EQUAL_PART * equal + (1.0 - EQUAL_PART) * (own / all).clamp(0.0, 1.0)
+}
+
+/// This node's part of the quota of one workspace.
+#[derive(Clone, Debug)]
+pub struct Quota {
+    bucket: Option<Bucket>,
+    rate: f64,
+    burst: f64,
+    demand: f64,
+    at: Time,
+}
+
+impl Quota {
+    /// Creates the quota of a workspace without recent requests.
+    pub fn new(now: Time) -> Self {
+        Self {
+            bucket: None,
+            rate: 0.0,
+            burst: 0.0,
+            demand: 0.0,
+            at: now,
+        }
+    }
+
+    /// Sets this node's part; a rate of 0 means that there is no limit.
+    pub fn set(&mut self, rate: f64, burst: f64, part: f64, now: Time) {
+        if rate <= 0.0 {
+            self.bucket = None;
+            return;
+        }
+        let span = Duration::from_secs_f64((burst / rate).clamp(0.001, 3_600.0));
+        match &mut self.bucket {
+            Some(bucket) if self.rate == rate && self.burst == burst => {
+                bucket.set_rate(rate * part, now);
+            }
+            Some(bucket) => {
+                let level = bucket.level(now);
+                *bucket = Bucket::new(rate * part, span, now).with_level(level);
+            }
+            None => {
+                let level = burst * part * START_LEVEL;
+                self.bucket = Some(Bucket::new(rate * part, span, now).with_level(level));
+            }
+        }
+        self.rate = rate;
+        self.burst = burst;
+    }
+
+    /// Returns the units that callers asked for lately, a second.
+    pub fn demand(&self, now: Time) -> f64 {
+        let passed = now.since(self.at).as_secs_f64();
+        self.demand * (-passed / DEMAND_SPAN.as_secs_f64()).exp()
+    }
+
+    /// Takes the units of a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns how long to wait until the workspace has as many units again.
+    pub fn take(&mut self, units: f64, now: Time) -> Result<(), Duration> {
+        self.demand = self.demand(now) + units / DEMAND_SPAN.as_secs_f64();
+        self.at = self.at.max(now);
+        match &mut self.bucket {
+            Some(bucket) => bucket.take(units, now),
+            None => Ok(()),
+        }
+    }
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -6,6 +6,7 @@
 //! so a test can drive any part step by step from one thread.
 
 pub mod call;
+pub mod catalog;
 pub mod config;
 pub mod fleet;
 pub mod lease;
@@ -13,11 +14,15 @@
 pub mod member;
 pub mod moves;
 pub mod once;
+pub mod peer;
 pub mod refusal;
+pub mod request;
 pub mod retry;
 pub mod route;
+pub mod stream;
 pub mod table;
 pub mod time;
+pub mod usage;
 pub mod verdict;
 
 /// A name shared between threads without copying.
--- /dev/null
+++ b/src/core/moves/canary.rs
@@ -0,0 +1,142 @@
+//! A version move whose time is short and whose end stops the old servers.
+//!
+//! The new version gets a small part of the traffic for most of the time, all
+//! of it at one server, so that a fault that needs load shows early. If no
+//! fault shows, all traffic moves at once, and the end is reported after the
+//! old servers had time to finish what they were at.
+
+use std::time::Duration;
+
+use crate::core::Name;
+use crate::core::moves::judge::Judge;
+use crate::core::time::Time;
+
+/// Part of the traffic that an untested version gets, in thousandths.
+const TRIAL_PERMILLE: u64 = 60;
+
+/// Part of the time span that is left when the end is reported.
+const REPORT_PART: f64 = 0.08;
+
+/// Least time that is left when the end is reported.
+const MIN_REPORT: Duration = Duration::from_millis(900);
+
+/// Time for the old servers to finish before the end is reported.
+const SETTLE: Duration = Duration::from_millis(2_500);
+
+/// Part of the time span that the old servers get at most.
+const MAX_SETTLE_PART: f64 = 0.25;
+
+/// How far a move has come.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Stage {
+    /// The new version is tested with a part of the traffic.
+    Trial,
+    /// The new version has all traffic; the old one finishes.
+    Full,
+    /// The new version has all traffic, and this was reported.
+    Done,
+    /// The old version has all traffic.
+    TakenBack,
+}
+
+/// A version move as seen from one node.
+#[derive(Clone, Debug)]
+pub struct Canary {
+    /// The new version.
+    pub target: Name,
+    /// Judges the answers of the new version.
+    pub judge: Judge,
+    within: Duration,
+    since: Time,
+    veto: Option<String>,
+    ended: Option<Stage>,
+}
+
+impl Canary {
+    /// Creates the move to `target`, first seen at `now`.
+    pub fn new(target: Name, within: Duration, now: Time) -> Self {
+        Self {
+            target,
+            judge: Judge::new(),
+            within,
+            since: now,
+            veto: None,
+            ended: None,
+        }
+    }
+
+    /// Records how the move ended, as the operator sees it.
+    pub fn set_ended(&mut self, ended: Option<Stage>) {
+        self.ended = ended;
+    }
+
+    /// Returns whether the operator was told how the move ended.
+    pub fn is_ended(&self) -> bool {
+        self.ended.is_some()
+    }
+
+    /// Returns whether the new version was found to be bad.
+    pub fn is_vetoed(&self) -> bool {
+        self.veto.is_some()
+    }
+
+    /// Records that the new version is bad.
+    pub fn veto(&mut self, reason: String) {
+        self.veto.get_or_insert(reason);
+    }
+
+    /// Looks for a fault, and returns it when it is found first.
+    pub fn look(&mut self) -> Option<String> {
+        if self.veto.is_some() || self.ended.is_some() {
+            return None;
+        }
+        let fault = self.judge.fault()?;
+        self.veto = Some(fault.clone());
+        Some(fault)
+    }
+
+    /// Returns how far the move is at `now`.
+    pub fn stage(&self, now: Time) -> Stage {
+        if let Some(ended) = self.ended {
+            return ended;
+        }
+        if self.veto.is_some() {
+            return Stage::TakenBack;
+        }
+        if now.since(self.since) < self.full_at() {
+            Stage::Trial
+        } else {
+            Stage::Full
+        }
+    }
+
+    /// Returns the end to report at `now`, if it was not reported yet.
+    pub fn outcome(&self, now: Time) -> Option<Stage> {
+        if self.ended.is_some() {
+            return None;
+        }
+        if self.veto.is_some() {
+            return Some(Stage::TakenBack);
+        }
+        (now.since(self.since) >= self.report_at()).then_some(Stage::Done)
+    }
+
+    fn report_at(&self) -> Duration {
+        let left = self.within.mul_f64(REPORT_PART).max(MIN_REPORT);
+        self.within.saturating_sub(left)
+    }
+
+    fn full_at(&self) -> Duration {
+        let settle = SETTLE.min(self.within.mul_f64(MAX_SETTLE_PART));
+        self.report_at().saturating_sub(settle)
+    }
+}
+
+/// Returns whether a request goes to the new version, given a random number.
+pub fn is_new(stage: Stage, draw: u64) -> bool {
+    match stage {
+        Stage::Trial => draw % 1_000 < TRIAL_PERMILLE,
+        Stage::Full | Stage::Done => true,
+        Stage::TakenBack => false,
+    }
+}
--- a/src/core/moves/mod.rs
+++ b/src/core/moves/mod.rs
@@ -13,6 +13,7 @@
 use crate::core::config::Move;
 use crate::core::time::Time;
 
+pub mod canary;
 pub mod judge;
 
 /// Part of the time span after which each share of traffic may begin.
--- a/src/core/refusal.rs
+++ b/src/core/refusal.rs
@@ -17,6 +17,8 @@
     UnknownRoute,
     /// No workspace of this name is configured.
     UnknownWorkspace,
+    /// No workspace holds the caller's key.
+    UnknownKey,
     /// The route may run at most once and the call carries no key.
     KeyRequired,
     /// The key was used before with a different body.
@@ -62,6 +64,7 @@
             Reason::UnknownService => "unknown_service",
             Reason::UnknownRoute => "unknown_route",
             Reason::UnknownWorkspace => "unknown_workspace",
+            Reason::UnknownKey => "unknown_key",
             Reason::KeyRequired => "key_required",
             Reason::KeyReused => "key_reused",
             Reason::InProgress => "in_progress",
@@ -86,6 +89,7 @@
     pub const fn status(self) -> u16 {
         match self {
             Reason::Malformed => 400,
+            Reason::UnknownKey => 401,
             Reason::UnknownService | Reason::UnknownRoute => 404,
             Reason::UnknownWorkspace => 403,
             Reason::InProgress | Reason::OutcomeUnknown | Reason::ConfigConflict => 409,
--- a/src/core/retry/crash.rs
+++ b/src/core/retry/crash.rs
@@ -18,6 +18,12 @@
 /// Time after a crash for which the requests that it hit are kept apart.
 const SUSPECT_TIME: Duration = Duration::from_secs(15);
 
+/// Time for which a crash is told to other nodes.
+const TELL_TIME: Duration = Duration::from_secs(5);
+
+/// Crashes told to other nodes at the same time.
+const MAX_TOLD: usize = 16;
+
 /// Fingerprints remembered at the same time.
 const MAX_ROWS: usize = 1_024;
 
@@ -53,9 +59,19 @@
 /// # Invariants
 ///
 /// `rows` is sorted by fingerprint and server, without repeats.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Crashes {
     rows: Vec<Crash>,
+    limit: usize,
+}
+
+impl Default for Crashes {
+    fn default() -> Self {
+        Self {
+            rows: Vec::new(),
+            limit: MAX_SERVERS,
+        }
+    }
 }
 
 impl Crashes {
@@ -64,6 +80,13 @@
         Self::default()
     }
 
+    /// Sets the servers that a request may take down before it is blocked.
+    #[must_use]
+    pub fn with_limit(mut self, servers: usize) -> Self {
+        self.limit = servers;
+        self
+    }
+
     /// Records a crash and returns whether it was new.
     pub fn record(&mut self, crash: Crash) -> bool {
         self.expire(crash.at);
@@ -77,6 +100,17 @@
         }
     }
 
+    /// Returns the crashes that were seen lately.
+    pub fn recent(&self, now: Time) -> Vec<Crash> {
+        let is_recent = |row: &&Crash| now.since(row.at) < TELL_TIME;
+        self.rows
+            .iter()
+            .filter(is_recent)
+            .take(MAX_TOLD)
+            .cloned()
+            .collect()
+    }
+
     /// Returns the servers that went down while they ran the request.
     pub fn servers(&self, fingerprint: Fingerprint) -> Vec<Name> {
         let from = self
@@ -133,7 +167,7 @@
 
     /// Returns whether the request must not be tried on another server.
     pub fn is_blocked(&self, fingerprint: Fingerprint) -> bool {
-        self.servers(fingerprint).len() >= MAX_SERVERS
+        self.servers(fingerprint).len() >= self.limit
     }
 
     fn expire(&mut self, now: Time) {
--- a/src/core/retry/mod.rs
+++ b/src/core/retry/mod.rs
@@ -120,18 +120,81 @@
     pub now: Time,
 }
 
+/// The attempts of one request so far.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Tries {
+    /// Attempts after which the request may have run.
+    pub runs: u32,
+    /// Attempts that reached a server.
+    pub sends: u32,
+    /// Attempts that reached no server.
+    pub misses: u32,
+}
+
+/// Attempts beyond those allowed to run that may still reach a server, since a
+/// server that vouches for not having run the request does not use one up.
+const EXTRA_SENDS: u32 = 2;
+
+/// Attempts that may fail before anything is sent.
+const MAX_MISSES: u32 = 4;
+
+impl Tries {
+    /// Records a failed attempt.
+    pub fn record(&mut self, cause: Cause) {
+        if cause == Cause::Connect {
+            self.misses += 1;
+            return;
+        }
+        self.sends += 1;
+        if cause.verdict() == Verdict::MayHaveRun {
+            self.runs += 1;
+        }
+    }
+
+    /// Returns whether the request may have run.
+    pub fn verdict(&self) -> Verdict {
+        if self.runs > 0 {
+            Verdict::MayHaveRun
+        } else {
+            Verdict::NotRun
+        }
+    }
+
+    /// Decides whether another attempt may be made when `allowed` may run.
+    pub fn decide(&self, allowed: u32, repeatable: bool, deadline: Time, now: Time) -> Decision {
+        if now >= deadline {
+            Decision::Deadline
+        } else if self.runs > 0 && !repeatable {
+            Decision::NotRepeatable
+        } else if self.runs >= allowed.max(1)
+            || self.sends >= allowed.max(1) + EXTRA_SENDS
+            || self.misses >= MAX_MISSES
+        {
+            Decision::Attempts
+        } else {
+            Decision::Again
+        }
+    }
+}
+
 /// Limits retries to a part of the load.
 ///
 /// Each first attempt earns a tenth of a retry, up to a cap, so a node whose
 /// servers all fail sends at most a tenth more than its callers do.
 #[derive(Clone, Debug)]
 pub struct Budget {
+    ratio: f64,
+    cap: f64,
     level: f64,
 }
 
 impl Default for Budget {
     fn default() -> Self {
-        Self { level: BUDGET_CAP }
+        Self {
+            ratio: BUDGET_RATIO,
+            cap: BUDGET_CAP,
+            level: BUDGET_CAP,
+        }
     }
 }
 
@@ -141,12 +204,25 @@
         Self::default()
     }
 
+    /// Sets the retries allowed for each first attempt, and those saved up.
+    pub fn set_limits(&mut self, ratio: f64, cap: f64) {
+        self.ratio = ratio;
+        self.cap = cap;
+        self.level = self.level.min(cap);
+    }
+
     /// Counts a first attempt.
     pub fn earn(&mut self) {
-        self.level = (self.level + BUDGET_RATIO).min(BUDGET_CAP);
+        self.level = (self.level + self.ratio).min(self.cap);
+    }
+
+    /// Returns whether a retry could be paid for.
+    pub fn has_any(&self) -> bool {
+        self.level >= 1.0
     }
 
-    fn spend(&mut self) -> bool {
+    /// Pays for one retry, or returns false if the budget is spent.
+    pub fn spend(&mut self) -> bool {
         if self.level < 1.0 {
             return false;
         }
--- /dev/null
+++ b/src/core/route/lapse.rs
@@ -0,0 +1,79 @@
+//! Entries that vanish while the store is away.
+
+use std::time::Duration;
+
+use crate::core::Name;
+use crate::core::table::Table;
+use crate::core::time::Time;
+
+/// Time without the store in which a live server's entry may lapse: less than
+/// the three heartbeats after which the store drops it.
+const OUTAGE: Duration = Duration::from_secs(2);
+
+/// Time after the store's return in which a live server's entry is back.
+const RETURN: Duration = Duration::from_millis(2_200);
+
+/// Decides when a vanished entry means that its server is gone.
+///
+/// While the store is away, entries of live servers lapse; they come back
+/// shortly after it does. An entry that vanishes at any other time is gone.
+#[derive(Clone, Debug, Default)]
+pub struct Lapses {
+    lost: Option<Time>,
+    returned: Option<Time>,
+    held: Table<Time>,
+}
+
+impl Lapses {
+    /// Creates the view of a store that was never away.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Records that the store did not answer.
+    pub fn record_failure(&mut self, now: Time) {
+        self.lost.get_or_insert(now);
+    }
+
+    /// Records an answer of the store.
+    pub fn record_answer(&mut self, now: Time) {
+        if self
+            .lost
+            .take()
+            .is_some_and(|lost| now.since(lost) >= OUTAGE)
+        {
+            self.returned = Some(now);
+        }
+    }
+
+    /// Returns whether a vanished entry is to be dropped now; it is held else.
+    pub fn is_gone(&mut self, id: &Name, now: Time) -> bool {
+        let Some(returned) = self.returned else {
+            return true;
+        };
+        if now.since(returned) >= RETURN {
+            self.returned = None;
+            return true;
+        }
+        self.held.get_or_insert_with(id, || returned + RETURN);
+        false
+    }
+
+    /// Records that an entry is there.
+    pub fn record_present(&mut self, id: &str) {
+        self.held.remove(id);
+    }
+
+    /// Takes out the entries that did not come back in time.
+    pub fn expired(&mut self, now: Time) -> Vec<Name> {
+        let mut expired = Vec::new();
+        self.held.retain(|id, until| {
+            let is_held = *until > now;
+            if !is_held {
+                expired.push(id.clone());
+            }
+            is_held
+        });
+        expired
+    }
+}
--- a/src/core/route/mod.rs
+++ b/src/core/route/mod.rs
@@ -10,6 +10,8 @@
 use crate::core::Name;
 
 pub mod baseline;
+pub mod homes;
+pub mod lapse;
 pub mod prefix;
 pub mod scored;
 pub mod servers;
@@ -24,6 +26,8 @@
     pub prompt_tokens: u32,
     /// Tokens that the answer may have.
     pub answer_tokens: u32,
+    /// Key of the session whose requests share most of their prompts.
+    pub session: Option<u64>,
 }
 
 /// A backend server that may take the request.
--- a/src/core/route/servers.rs
+++ b/src/core/route/servers.rs
@@ -25,6 +25,15 @@
 /// Requests for each slot that may be at a server before work waits at the node.
 const SLOT_FACTOR: f64 = 1.25;
 
+/// Part of failed answers from which a server rests though others succeed.
+const ERROR_PART: f64 = 0.3;
+
+/// Time for which such a server rests.
+const ERROR_REST: Duration = Duration::from_secs(3);
+
+/// Smoothing factor of the part of failed answers.
+const ERROR_SMOOTHING: f64 = 0.12;
+
 /// Smoothing factor of load reports.
 const REPORT_SMOOTHING: f64 = 0.2;
 
@@ -82,6 +91,7 @@
     pub leaving: bool,
     rests_until: Time,
     failures: u32,
+    errors: f64,
     load_at: Time,
     reported: f64,
     own_reported: f64,
@@ -98,6 +108,7 @@
             suspects: 0,
             rests_until: Time::default(),
             failures: 0,
+            errors: 0.0,
             load_at: Time::default(),
             reported: 0.0,
             own_reported: 0.0,
@@ -236,7 +247,11 @@
     /// A server that fails fast looks idle, and would else draw all requests.
     pub fn record_failure(&mut self, id: &str, now: Time) {
         if let Some(server) = self.rows.get_mut(id) {
-            let rest = REST * (1 << server.failures.min(8));
+            let mut rest = REST * (1 << server.failures.min(8));
+            server.errors += ERROR_SMOOTHING * (1.0 - server.errors);
+            if server.errors > ERROR_PART {
+                rest = rest.max(ERROR_REST);
+            }
             server.rests_until = now + rest.min(MAX_REST);
             server.failures += 1;
         }
@@ -247,6 +262,7 @@
     pub fn record_success(&mut self, id: &str, time: Duration) {
         if let Some(server) = self.rows.get_mut(id) {
             server.failures = 0;
+            server.errors -= ERROR_SMOOTHING * server.errors;
             let ms = time.as_secs_f64() * 1_000.0;
             server.request_ms += SMOOTHING * (ms - server.request_ms);
         }
@@ -309,21 +325,21 @@
         self.rows.iter().map(|(_, server)| server)
     }
 
-    /// Returns the names of this node's candidates for one version of a service.
-    pub fn subset(&self, service: &str, version: &str) -> &[Name] {
-        self.subsets
-            .get(service)
-            .and_then(|versions| versions.get(version))
-            .map_or(&[], Vec::as_slice)
+    /// Returns this node's candidates for a service, of one version or of all.
+    pub fn subset<'a>(
+        &'a self,
+        service: &str,
+        version: Option<&'a str>,
+    ) -> impl Iterator<Item = &'a Server> {
+        self.of_service(service)
+            .filter(move |server| version.is_none_or(|version| *server.vm.version == *version))
     }
 
     /// Returns the candidates for a request, without those in `avoid`.
     pub fn candidates(&self, filter: &Filter<'_>, request: &Request, now: Time) -> Vec<Candidate> {
-        let subset = self.subset(filter.service, filter.version);
-        let servers: Vec<&Server> = subset
-            .iter()
-            .filter(|id| !filter.avoid.contains(id))
-            .filter_map(|id| self.rows.get(id))
+        let servers: Vec<&Server> = self
+            .subset(filter.service, filter.version)
+            .filter(|server| !filter.avoid.contains(&server.vm.id))
             .filter(|server| !server.leaving)
             .collect();
         // When every server rests, a doubtful one is better than none.
@@ -365,8 +381,8 @@
 pub struct Filter<'a> {
     /// The service.
     pub service: &'a str,
-    /// The version of the service.
-    pub version: &'a str,
+    /// The version of the service, or any if `None`.
+    pub version: Option<&'a str>,
     /// Requests that one server of the service runs at the same time.
     pub slots: u32,
     /// Servers that were tried already.
--- /dev/null
+++ b/src/core/usage.rs
@@ -0,0 +1,123 @@
+//! Counts of requests by window of time and workspace.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::core::Name;
+use crate::core::table::Table;
+use crate::core::time::Time;
+
+/// Windows that a node keeps and tells others.
+const KEPT: usize = 4;
+
+/// Time after the end of a window until the counts of all nodes have arrived:
+/// two heartbeats and the time that a datagram takes.
+const SETTLE: Duration = Duration::from_millis(1_500);
+
+/// Requests that began to run in one window.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Counts {
+    /// Number of the window since 1970.
+    pub window: u64,
+    /// Requests by workspace.
+    pub requests: Table<u64>,
+}
+
+impl Counts {
+    fn add(&mut self, other: &Counts) {
+        for (workspace, count) in other.requests.iter() {
+            *self.requests.get_or_insert_with(workspace, || 0) += count;
+        }
+    }
+
+    /// Returns whether no request began in the window.
+    pub fn is_empty(&self) -> bool {
+        self.requests.iter().all(|(_, count)| *count == 0)
+    }
+}
+
+/// The requests that began at this node.
+///
+/// # Invariants
+///
+/// `rows` is sorted by window.
+#[derive(Clone, Debug)]
+pub struct Meter {
+    length: Duration,
+    rows: Vec<Counts>,
+}
+
+impl Meter {
+    /// Creates a meter for windows of `length`.
+    pub fn new(length: Duration) -> Self {
+        Self {
+            length,
+            rows: Vec::new(),
+        }
+    }
+
+    /// Returns the window that contains `time`.
+    pub fn window(&self, time: Time) -> u64 {
+        time.0 / (self.length.as_micros() as u64).max(1)
+    }
+
+    /// Returns the end of a window.
+    fn end(&self, window: u64) -> Time {
+        Time((window + 1) * self.length.as_micros() as u64)
+    }
+
+    /// Counts a request of `workspace` that began at `time`.
+    pub fn record(&mut self, workspace: &Name, time: Time) {
+        let window = self.window(time);
+        let at = match self.rows.binary_search_by_key(&window, |row| row.window) {
+            Ok(at) => at,
+            Err(at) => {
+                let row = Counts {
+                    window,
+                    requests: Table::new(),
+                };
+                self.rows.insert(at, row);
+                if self.rows.len() > KEPT {
+                    self.rows.remove(0);
+                }
+                at.min(self.rows.len() - 1)
+            }
+        };
+        *self.rows[at].requests.get_or_insert_with(workspace, || 0) += 1;
+    }
+
+    /// Returns the counts of the last windows.
+    pub fn counts(&self) -> &[Counts] {
+        &self.rows
+    }
+
+    /// Returns the sum over all nodes for the first window after `reported`
+    /// that is over for long enough, or `None` if there is none yet.
+    ///
+    /// Windows without requests are passed over, as are those that no node
+    /// remembers any more.
+    pub fn due<'a>(
+        &'a self,
+        reported: Option<u64>,
+        others: impl Iterator<Item = &'a Counts>,
+        time: Time,
+    ) -> Option<Counts> {
+        let is_due = |window: u64| {
+            reported.is_none_or(|last| window > last) && self.end(window) + SETTLE <= time
+        };
+        let mut sum: Option<Counts> = None;
+        for counts in self.rows.iter().chain(others) {
+            if !is_due(counts.window) || counts.is_empty() {
+                continue;
+            }
+            match &mut sum {
+                Some(known) if known.window < counts.window => {}
+                Some(known) if known.window == counts.window => known.add(counts),
+                _ => sum = Some(counts.clone()),
+            }
+        }
+        sum
+    }
+}
--- /dev/null
+++ b/src/entry/beats.rs
@@ -0,0 +1,387 @@
+//! Heartbeats between entries, as datagrams.
+//!
+//! A datagram that is lost needs no repeat, since the next one says the same
+//! and more; and nothing is kept between two entries that could go silent.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::net::UdpSocket;
+
+use crate::core::Name;
+use crate::core::lease::Lease;
+use crate::core::peer::Beat;
+use crate::core::peer::Peers;
+use crate::core::peer::Phase;
+use crate::core::peer::Status;
+use crate::core::table::Table;
+use crate::core::time::Time;
+use crate::core::usage::Counts;
+use crate::entry::Entry;
+use crate::error::Error;
+use crate::node::peers::frame;
+use crate::telemetry::events::Line;
+
+/// Time between two heartbeats.
+const STEP: Duration = Duration::from_millis(500);
+
+/// Entries up to which each one sends to all others.
+const FULL_MESH: usize = 16;
+
+/// Entries that one sends to at a time when there are more.
+const FAN_OUT: usize = 8;
+
+/// Statuses of others that are passed on in one datagram.
+const PASSED_ON: usize = 6;
+
+/// Largest datagram, in bytes.
+const MAX_DATAGRAM: usize = 60_000;
+
+/// Time for which an entry that was registered and not heard counts as there.
+const UNHEARD: Duration = Duration::from_secs(10);
+
+/// Time after which a registration that is not heard is removed.
+const REMOVE_AFTER: Duration = Duration::from_secs(60);
+
+/// An entry as registered in the store.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Member {
+    /// Address for callers.
+    pub front: SocketAddr,
+    /// Address for heartbeats.
+    pub peer: SocketAddr,
+    /// Failure domain.
+    pub domain: Name,
+    /// Time of its start, in microseconds since 1970 by its own clock.
+    pub started: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Registered {
+    member: Member,
+    revision: u64,
+    since: Time,
+}
+
+#[derive(Default)]
+struct State {
+    peers: Peers,
+    members: Table<Registered>,
+    incarnation: u64,
+    seq: u64,
+    lease: Option<Lease>,
+}
+
+/// What this entry knows of the others.
+#[derive(Default)]
+pub struct Beats {
+    state: Mutex<State>,
+}
+
+/// Binds the socket for heartbeats.
+///
+/// # Errors
+///
+/// Returns an error if the address cannot be used.
+pub async fn bind(address: SocketAddr) -> Result<UdpSocket, Error> {
+    UdpSocket::bind(address)
+        .await
+        .map_err(|e| Error::io(address.to_string(), &e))
+}
+
+impl Beats {
+    /// Creates a view without other entries.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Sets the incarnation of this process, unless it has one.
+    ///
+    /// A process that registers again goes on under its first incarnation, so
+    /// that its counts are not taken for those of another one.
+    pub fn set_incarnation(&self, revision: u64) {
+        let mut state = self.state.lock().unwrap();
+        if state.incarnation == 0 {
+            state.incarnation = revision;
+        }
+    }
+
+    /// Says which lease this entry holds.
+    pub fn set_lease(&self, lease: Option<Lease>) {
+        self.state.lock().unwrap().lease = lease;
+    }
+
+    /// Takes over one registration; `None` means that it was removed.
+    pub fn set_member(&self, name: &Name, member: Option<(Member, u64)>, now: Time) {
+        let mut state = self.state.lock().unwrap();
+        match member {
+            Some((member, revision)) => {
+                let registered = Registered {
+                    member,
+                    revision,
+                    since: now,
+                };
+                state.members.insert(name.clone(), registered);
+            }
+            None => {
+                state.members.remove(name);
+                state.peers.remove(name, now);
+            }
+        }
+    }
+
+    /// Returns the names of all registered entries.
+    pub fn members(&self) -> Vec<Name> {
+        let state = self.state.lock().unwrap();
+        state.members.iter().map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Returns registrations of entries that were not heard for long.
+    pub fn removable(&self, own: &str, now: Time) -> Vec<(Name, u64)> {
+        let state = self.state.lock().unwrap();
+        let heard = state.peers.heard(now, REMOVE_AFTER);
+        state
+            .members
+            .iter()
+            .filter(|(name, _)| ***name != *own && heard.binary_search(name).is_err())
+            .filter(|(_, row)| now.since(row.since) > REMOVE_AFTER)
+            .map(|(name, row)| (name.clone(), row.revision))
+            .collect()
+    }
+
+    /// Returns the number of entries that share the limits, this one included,
+    /// and the units that the others were asked for, a second, by workspace.
+    pub fn demand(&self, now: Time) -> (usize, Table<f64>) {
+        let state = self.state.lock().unwrap();
+        let mut sum: Table<f64> = Table::new();
+        let mut names: Vec<&Name> = Vec::new();
+        for status in state.peers.sharing(now) {
+            names.push(&status.node);
+            for (workspace, demand) in status.demand.iter() {
+                *sum.get_or_insert_with(workspace, || 0.0) += demand;
+            }
+        }
+        names.sort_unstable();
+        let known = state.peers.names();
+        let unheard = state.members.iter().filter(|(name, row)| {
+            known.binary_search(name).is_err() && now.since(row.since) < UNHEARD
+        });
+        // The own registration is never heard, and stands for this entry.
+        let unheard = unheard.count().saturating_sub(1);
+        (names.len() + unheard + 1, sum)
+    }
+
+    /// Returns the difference of the time of day to that of most entries, in
+    /// microseconds.
+    pub fn clock_offset(&self, now: Time) -> i64 {
+        self.state.lock().unwrap().peers.clock_offset(now)
+    }
+
+    /// Returns the usage counts of the other entries.
+    pub fn counts(&self) -> Vec<Counts> {
+        let state = self.state.lock().unwrap();
+        state.peers.counts().cloned().collect()
+    }
+
+    /// Returns the lease of the duties as another entry last told it.
+    pub fn lease(&self) -> Option<Lease> {
+        self.state.lock().unwrap().peers.lease().cloned()
+    }
+
+    /// Returns the statuses of the other entries that were heard lately.
+    pub fn live(&self, now: Time) -> Vec<Status> {
+        self.state
+            .lock()
+            .unwrap()
+            .peers
+            .live(now)
+            .cloned()
+            .collect()
+    }
+
+    /// Returns the addresses for callers of the others in the best phase that
+    /// any of them, or this entry in `own`, is in.
+    pub fn fronts(&self, own: Phase, now: Time) -> (bool, Vec<SocketAddr>) {
+        let state = self.state.lock().unwrap();
+        let serving = |phase| matches!(phase, Phase::Ready | Phase::Stale);
+        let best = state
+            .peers
+            .live(now)
+            .map(|status| status.phase)
+            .chain([own])
+            .filter(|phase| serving(*phase))
+            .max();
+        let Some(best) = best else {
+            return (false, Vec::new());
+        };
+        let fronts = state
+            .peers
+            .live(now)
+            .filter(|status| status.phase == best)
+            .map(|status| status.front)
+            .collect();
+        (own == best, fronts)
+    }
+}
+
+/// Returns what this entry can do at the moment.
+pub fn phase(entry: &Entry) -> Phase {
+    let now = entry.clock.now();
+    if entry.is_leaving() {
+        Phase::Leaving
+    } else if entry.catalog.version() == 0 {
+        Phase::Starting
+    } else if entry
+        .catalog
+        .is_stale(entry.settings.load().bounds.revoke, now)
+    {
+        Phase::Stale
+    } else {
+        Phase::Ready
+    }
+}
+
+/// Sends and receives heartbeats until the entry stops.
+pub async fn run(entry: Arc<Entry>, socket: UdpSocket) {
+    let mut step = tokio::time::interval(STEP);
+    step.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut leaving = entry.leaving.subscribe();
+    let mut buffer = vec![0; MAX_DATAGRAM];
+    loop {
+        tokio::select! {
+            _ = step.tick() => send(&entry, &socket).await,
+            changed = leaving.changed() => match changed {
+                Ok(()) => send(&entry, &socket).await,
+                Err(_) => return,
+            },
+            received = socket.recv_from(&mut buffer) => match received {
+                Ok((length, from)) => receive(&entry, &buffer[..length], from),
+                // Reports that an earlier datagram met a closed port.
+                Err(_) => tokio::time::sleep(Duration::from_millis(5)).await,
+            },
+        }
+    }
+}
+
+fn own_status(entry: &Entry, front: SocketAddr) -> Option<Status> {
+    let settings = entry.settings.load();
+    let now = entry.clock.now();
+    let mut state = entry.beats.state.lock().unwrap();
+    if state.incarnation == 0 {
+        return None;
+    }
+    state.seq += 1;
+    let (incarnation, seq, lease) = (state.incarnation, state.seq, state.lease.clone());
+    drop(state);
+    Some(Status {
+        node: settings.node.clone(),
+        incarnation,
+        seq,
+        domain: settings.domain.clone(),
+        front,
+        peer: settings.peer,
+        phase: phase(entry),
+        time: now,
+        lease,
+        demand: entry.limits.demand(now),
+        running: entry.backends.running(),
+        usage: entry.usage.counts(),
+        crashes: entry.crashes.lock().unwrap().recent(now),
+        judged: entry.moves.judged(),
+        vetoes: entry.moves.vetoes(),
+    })
+}
+
+async fn send(entry: &Entry, socket: &UdpSocket) {
+    let Some(front) = entry.settings.load().front else {
+        return;
+    };
+    let Some(own) = own_status(entry, front) else {
+        return;
+    };
+    let now = entry.clock.now();
+    let me = own.node.clone();
+    let (mut targets, others) = {
+        let state = entry.beats.state.lock().unwrap();
+        let targets: Vec<SocketAddr> = state
+            .members
+            .iter()
+            .filter(|(name, _)| **name != me)
+            .map(|(_, row)| row.member.peer)
+            .collect();
+        let others = if targets.len() < FULL_MESH {
+            Vec::new()
+        } else {
+            state.peers.freshest(PASSED_ON, now)
+        };
+        (targets, others)
+    };
+    if targets.len() >= FULL_MESH {
+        for at in 0..FAN_OUT {
+            let other = at + (entry.draw() % (targets.len() - at) as u64) as usize;
+            targets.swap(at, other);
+        }
+        targets.truncate(FAN_OUT);
+    }
+    let Ok(datagram) = frame::encode(&Beat { own, others }) else {
+        entry.events.write(Line::new("heartbeat_too_large"));
+        return;
+    };
+    for target in targets {
+        // A datagram that cannot be sent is like one that is lost.
+        let _ = socket.send_to(&datagram, target).await;
+    }
+}
+
+fn receive(entry: &Entry, datagram: &[u8], from: SocketAddr) {
+    let beat: Beat = match frame::decode(datagram) {
+        Ok(beat) => beat,
+        Err(e) => {
+            let line = Line::new("heartbeat_unreadable").with("from", from.to_string());
+            entry.events.write(line.with("reason", format!("{e:?}")));
+            return;
+        }
+    };
+    let now = entry.clock.now();
+    let sender = beat.own.node.clone();
+    let time = beat.own.time;
+    for status in std::iter::once(beat.own).chain(beat.others) {
+        take(entry, status, now);
+    }
+    let mut state = entry.beats.state.lock().unwrap();
+    state.peers.record_time(&sender, time, now);
+}
+
+/// Takes over what another entry says, if it is new.
+fn take(entry: &Entry, status: Status, now: Time) {
+    if status.node == entry.settings.load().node {
+        return;
+    }
+    let mut state = entry.beats.state.lock().unwrap();
+    let before = state.peers.phase(&status.node, now);
+    let is_new = state.peers.merge(status.clone(), now);
+    drop(state);
+    if !is_new {
+        return;
+    }
+    if before != Some(status.phase) {
+        entry.events.write(
+            Line::new("peer_phase")
+                .with("peer", &*status.node)
+                .with("incarnation", status.incarnation)
+                .with("phase", format!("{:?}", status.phase)),
+        );
+    }
+    let mut crashes = entry.crashes.lock().unwrap();
+    for crash in status.crashes {
+        crashes.record(crash);
+    }
+    drop(crashes);
+    entry
+        .moves
+        .merge(&status.node, &status.judged, &status.vetoes);
+}
--- /dev/null
+++ b/src/entry/feeds.rs
@@ -0,0 +1,493 @@
+//! Follows the objects of the store.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::future::BoxFuture;
+use serde_json::Value;
+
+use crate::core::Name;
+use crate::core::time::Time;
+use crate::entry::Entry;
+use crate::entry::beats::Member;
+use crate::entry::outside::Change;
+use crate::entry::outside::Content;
+use crate::entry::outside::Kind;
+use crate::entry::outside::Listing;
+use crate::entry::outside::Object;
+use crate::entry::outside::StoreError;
+use crate::entry::outside::Watched;
+use crate::telemetry::events::Line;
+
+/// Part of the time to revoke a key for which a watch of the declaration waits.
+///
+/// Each answer of the store confirms that the declaration is the newest.
+const CONFIRM_PART: f64 = 0.28;
+
+/// Time for which a watch of backend servers waits.
+const BACKENDS_WAIT: Duration = Duration::from_secs(8);
+
+/// Time for which a watch of what changes seldom waits.
+const SELDOM_WAIT: Duration = Duration::from_secs(20);
+
+/// First wait after a failed call to the store.
+const BACKOFF: Duration = Duration::from_millis(100);
+
+/// Longest wait after failed calls.
+const MAX_BACKOFF: Duration = Duration::from_millis(800);
+
+/// What is done with the objects of one kind.
+trait Feed: Send {
+    /// The kind.
+    fn kind(&self) -> Kind;
+
+    /// Time for which a watch waits.
+    fn wait(&self, entry: &Entry) -> Duration;
+
+    /// Takes over all objects, as they were at `sent` or later.
+    fn replace<'a>(
+        &'a mut self,
+        entry: &'a Entry,
+        objects: Vec<Object>,
+    ) -> BoxFuture<'a, Result<(), StoreError>>;
+
+    /// Takes over changes.
+    fn change<'a>(
+        &'a mut self,
+        entry: &'a Entry,
+        changes: Vec<Change>,
+    ) -> BoxFuture<'a, Result<(), StoreError>>;
+
+    /// Records that everything taken over was the newest at `time`.
+    fn confirm(&mut self, _entry: &Entry, _time: Time) {}
+
+    /// Records that the store did not answer.
+    fn fail(&mut self, _entry: &Entry) {}
+}
+
+/// How a feed stands with the store.
+struct Link {
+    name: &'static str,
+    revision: Option<u64>,
+    backoff: Duration,
+    lost: Option<Time>,
+}
+
+/// Follows one kind of objects until the entry stops.
+async fn follow(entry: Arc<Entry>, mut feed: Box<dyn Feed>, name: &'static str) {
+    let mut link = Link {
+        name,
+        revision: None,
+        backoff: BACKOFF,
+        lost: None,
+    };
+    loop {
+        match link.step(&entry, &mut *feed).await {
+            Ok(()) => link.record_answer(&entry),
+            Err(e) => {
+                link.record_failure(&entry, &e);
+                feed.fail(&entry);
+                let wait = link.backoff / 2 + entry.jitter(link.backoff / 2);
+                tokio::time::sleep(wait).await;
+            }
+        }
+    }
+}
+
+impl Link {
+    async fn step(&mut self, entry: &Entry, feed: &mut dyn Feed) -> Result<(), StoreError> {
+        let sent = entry.clock.now();
+        let Some(revision) = self.revision else {
+            let listing = entry.outside.store.list(feed.kind()).await?;
+            let Listing { revision, objects } = listing;
+            feed.replace(entry, objects).await?;
+            feed.confirm(entry, sent);
+            self.revision = Some(revision);
+            return Ok(());
+        };
+        let wait = feed.wait(entry);
+        match entry.outside.store.watch(feed.kind(), revision, wait).await {
+            Ok(Watched::Changes(revision, changes)) => {
+                let is_empty = changes.is_empty();
+                feed.change(entry, changes).await?;
+                self.revision = Some(revision);
+                let waited = entry.clock.now().since(sent);
+                let known = if is_empty && waited >= wait {
+                    sent + wait
+                } else {
+                    sent
+                };
+                feed.confirm(entry, known);
+                Ok(())
+            }
+            Ok(Watched::HistoryGone) => {
+                let line = Line::new("store_history_gone").with("feed", self.name);
+                entry.events.write(line.with("revision", revision));
+                self.revision = None;
+                Ok(())
+            }
+            Err(e) => Err(e),
+        }
+    }
+
+    fn record_failure(&mut self, entry: &Entry, e: &StoreError) {
+        let label = self.name;
+        metrics::counter!("cassialock_store_failures_total", "call" => label).increment(1);
+        if self.lost.is_none() {
+            self.lost = Some(entry.clock.now());
+            entry.events.write(
+                Line::new("store_lost")
+                    .with("feed", label)
+                    .with("reason", e.to_string()),
+            );
+        } else {
+            self.backoff = (self.backoff * 2).min(MAX_BACKOFF);
+        }
+    }
+
+    fn record_answer(&mut self, entry: &Entry) {
+        self.backoff = BACKOFF;
+        if let Some(lost) = self.lost.take() {
+            let span = entry.clock.now().since(lost);
+            entry.events.write(
+                Line::new("store_regained")
+                    .with("feed", self.name)
+                    .with_ms("outage_ms", span),
+            );
+        }
+    }
+}
+
+/// Notes an object that cannot be used; the others hold.
+fn note_unreadable(entry: &Entry, kind: Kind, object: &str, reason: &str) {
+    entry.events.write(
+        Line::new("object_unreadable")
+            .with("kind", format!("{kind:?}"))
+            .with("object", object)
+            .with("reason", reason),
+    );
+}
+
+struct CatalogFeed;
+
+impl CatalogFeed {
+    fn take(entry: &Entry, object: Object) {
+        match object.content {
+            Content::Catalog(catalog) => {
+                let (before, version) = (entry.catalog.version(), catalog.version);
+                if entry.catalog.install(*catalog) {
+                    entry.events.write(
+                        Line::new("catalog_installed")
+                            .with("version", version)
+                            .with("version_before", before)
+                            .with("revision", object.revision),
+                    );
+                }
+            }
+            Content::Unreadable(reason) => {
+                note_unreadable(entry, Kind::Catalog, &object.name, &reason);
+            }
+            Content::Backend(_) | Content::Move(_) | Content::Record(_) => {}
+        }
+    }
+}
+
+impl Feed for CatalogFeed {
+    fn kind(&self) -> Kind {
+        Kind::Catalog
+    }
+
+    fn wait(&self, entry: &Entry) -> Duration {
+        entry.settings.load().bounds.revoke.mul_f64(CONFIRM_PART)
+    }
+
+    fn replace<'a>(
+        &'a mut self,
+        entry: &'a Entry,
+        objects: Vec<Object>,
+    ) -> BoxFuture<'a, Result<(), StoreError>> {
+        for object in objects {
+            Self::take(entry, object);
+        }
+        Box::pin(std::future::ready(Ok(())))
+    }
+
+    fn change<'a>(
+        &'a mut self,
+        entry: &'a Entry,
+        changes: Vec<Change>,
+    ) -> BoxFuture<'a, Result<(), StoreError>> {
+        for change in changes.into_iter().filter(|change| !change.is_removed) {
+            Self::take(entry, change.object);
+        }
+        Box::pin(std::future::ready(Ok(())))
+    }
+
+    fn confirm(&mut self, entry: &Entry, time: Time) {
+        if entry.catalog.version() > 0 {
+            entry.catalog.confirm(time);
+        }
+    }
+}
+
+/// Follows the declaration of the operator.
+pub async fn follow_catalog(entry: Arc<Entry>) {
+    follow(entry, Box::new(CatalogFeed), "catalog").await;
+}
+
+struct BackendsFeed;
+
+impl Feed for BackendsFeed {
+    fn kind(&self) -> Kind {
+        Kind::Backends
+    }
+
+    fn wait(&self, _entry: &Entry) -> Duration {
+        BACKENDS_WAIT
+    }
+
+    fn replace<'a>(
+        &'a mut self,
+        entry: &'a Entry,
+        objects: Vec<Object>,
+    ) -> BoxFuture<'a, Result<(), StoreError>> {
+        let mut list = Vec::with_capacity(objects.len());
+        for object in objects {
+            match object.content {
+                Content::Backend(listed) => list.push(listed),
+                Content::Unreadable(reason) => {
+                    note_unreadable(entry, Kind::Backends, &object.name, &reason);
+                }
+                Content::Catalog(_) | Content::Move(_) | Content::Record(_) => {}
+            }
+        }
+        let lines = entry.backends.replace(list, entry.clock.now());
+        lines.into_iter().for_each(|line| entry.events.write(line));
+        Box::pin(std::future::ready(Ok(())))
+    }
+
+    fn change<'a>(
+        &'a mut self,
+        entry: &'a Entry,
+        changes: Vec<Change>,
+    ) -> BoxFuture<'a, Result<(), StoreError>> {
+        let mut list = Vec::with_capacity(changes.len());
+        for change in changes {
+            let name = change.object.name;
+            match change.object.content {
+                Content::Backend(listed) if !change.is_removed => {
+                    list.push((name, Some(listed)));
+                }
+                Content::Unreadable(reason) if !change.is_removed => {
+                    note_unreadable(entry, Kind::Backends, &name, &reason);
+                    list.push((name, None));
+                }
+                _ => list.push((name, None)),
+            }
+        }
+        let lines = entry.backends.change(list, entry.clock.now());
+        lines.into_iter().for_each(|line| entry.events.write(line));
+        Box::pin(std::future::ready(Ok(())))
+    }
+
+    fn fail(&mut self, entry: &Entry) {
+        entry.backends.record_outage(entry.clock.now());
+    }
+}
+
+/// Follows the backend servers.
+pub async fn follow_backends(entry: Arc<Entry>) {
+    follow(entry, Box::new(BackendsFeed), "backends").await;
+}
+
+struct MovesFeed {
+    known: Vec<Name>,
+}
+
+impl MovesFeed {
+    fn take(&mut self, entry: &Entry, object: Object) {
+        let now = entry.clock.now();
+        match object.content {
+            Content::Move(declared) => {
+                let service = declared.service.clone();
+                if !self.known.contains(&service) {
+                    self.known.push(service.clone());
+                }
+                let line = entry.moves.set(&service, Some(declared), now);
+                line.into_iter().for_each(|line| entry.events.write(line));
+            }
+            Content::Unreadable(reason) => {
+                note_unreadable(entry, Kind::Moves, &object.name, &reason);
+            }
+            Content::Catalog(_) | Content::Backend(_) | Content::Record(_) => {}
+        }
+    }
+
+    fn withdraw(&mut self, entry: &Entry, service: &Name) {
+        self.known.retain(|known| known != service);
+        let line = entry.moves.set(service, None, entry.clock.now());
+        line.into_iter().for_each(|line| entry.events.write(line));
+    }
+}
+
+impl Feed for MovesFeed {
+    fn kind(&self) -> Kind {
+        Kind::Moves
+    }
+
+    fn wait(&self, _entry: &Entry) -> Duration {
+        SELDOM_WAIT
+    }
+
+    fn replace<'a>(
+        &'a mut self,
+        entry: &'a Entry,
+        objects: Vec<Object>,
+    ) -> BoxFuture<'a, Result<(), StoreError>> {
+        let names: Vec<Name> = objects.iter().map(|object| object.name.clone()).collect();
+        for service in self.known.clone() {
+            if !names.contains(&service) {
+                self.withdraw(entry, &service);
+            }
+        }
+        for object in objects {
+            self.take(entry, object);
+        }
+        Box::pin(std::future::ready(Ok(())))
+    }
+
+    fn change<'a>(
+        &'a mut self,
+        entry: &'a Entry,
+        changes: Vec<Change>,
+    ) -> BoxFuture<'a, Result<(), StoreError>> {
+        for change in changes {
+            if change.is_removed {
+                self.withdraw(entry, &change.object.name);
+            } else {
+                self.take(entry, change.object);
+            }
+        }
+        Box::pin(std::future::ready(Ok(())))
+    }
+}
+
+/// Follows the version moves.
+pub async fn follow_moves(entry: Arc<Entry>) {
+    let feed = MovesFeed { known: Vec::new() };
+    follow(entry, Box::new(feed), "moves").await;
+}
+
+/// Follows the registrations of entries, and keeps the own one there.
+struct NodesFeed {
+    own: Member,
+}
+
+impl NodesFeed {
+    fn take(&mut self, entry: &Entry, object: Object) -> Option<u64> {
+        let now = entry.clock.now();
+        let Content::Record(value) = object.content else {
+            return None;
+        };
+        match serde_json::from_value::<Member>(value) {
+            Ok(member) => {
+                let is_own = *object.name == *entry.settings.load().node && member == self.own;
+                let registered = Some((member, object.revision));
+                entry.beats.set_member(&object.name, registered, now);
+                is_own.then_some(object.revision)
+            }
+            Err(e) => {
+                note_unreadable(entry, Kind::Nodes, &object.name, &e.to_string());
+                None
+            }
+        }
+    }
+
+    /// Writes the own registration over what is there.
+    async fn register(&mut self, entry: &Entry, over: Option<u64>) -> Result<(), StoreError> {
+        let node = entry.settings.load().node.clone();
+        let value = serde_json::to_value(&self.own).unwrap_or(Value::Null);
+        let store = &entry.outside.store;
+        let revision = store.write(Kind::Nodes, &node, over, &value).await?;
+        entry.beats.set_incarnation(revision);
+        let line = Line::new("registered").with("revision", revision);
+        entry.events.write(line);
+        Ok(())
+    }
+}
+
+impl Feed for NodesFeed {
+    fn kind(&self) -> Kind {
+        Kind::Nodes
+    }
+
+    fn wait(&self, _entry: &Entry) -> Duration {
+        SELDOM_WAIT
+    }
+
+    fn replace<'a>(
+        &'a mut self,
+        entry: &'a Entry,
+        objects: Vec<Object>,
+    ) -> BoxFuture<'a, Result<(), StoreError>> {
+        Box::pin(async move {
+            let node = entry.settings.load().node.clone();
+            let now = entry.clock.now();
+            for name in entry.beats.members() {
+                if !objects.iter().any(|object| object.name == name) {
+                    entry.beats.set_member(&name, None, now);
+                }
+            }
+            let mut over = None;
+            let mut own = None;
+            for object in objects {
+                if object.name == node {
+                    over = Some(object.revision);
+                }
+                own = self.take(entry, object).or(own);
+            }
+            match own {
+                Some(revision) => {
+                    entry.beats.set_incarnation(revision);
+                    Ok(())
+                }
+                None => self.register(entry, over).await,
+            }
+        })
+    }
+
+    fn change<'a>(
+        &'a mut self,
+        entry: &'a Entry,
+        changes: Vec<Change>,
+    ) -> BoxFuture<'a, Result<(), StoreError>> {
+        Box::pin(async move {
+            let node = entry.settings.load().node.clone();
+            let now = entry.clock.now();
+            for change in changes {
+                if !change.is_removed {
+                    self.take(entry, change.object);
+                    continue;
+                }
+                entry.beats.set_member(&change.object.name, None, now);
+                if change.object.name == node {
+                    self.register(entry, None).await?;
+                }
+            }
+            Ok(())
+        })
+    }
+}
+
+/// Follows the registrations of entries.
+pub async fn follow_nodes(entry: Arc<Entry>) {
+    let settings = entry.settings.load_full();
+    let Some(front) = settings.front else { return };
+    let own = Member {
+        front,
+        peer: settings.peer,
+        domain: settings.domain.clone(),
+        started: entry.clock.now().0,
+    };
+    follow(entry, Box::new(NodesFeed { own }), "nodes").await;
+}
--- /dev/null
+++ b/src/entry/usage.rs
@@ -0,0 +1,42 @@
+//! The requests that began to run at this entry.
+
+use std::sync::Mutex;
+use std::time::Duration;
+
+use crate::core::Name;
+use crate::core::time::Time;
+use crate::core::usage::Counts;
+use crate::core::usage::Meter;
+use crate::entry::Entry;
+
+/// Counts requests by window and workspace.
+pub struct Usage {
+    meter: Mutex<Meter>,
+}
+
+impl Usage {
+    /// Creates a count for windows of `length`.
+    pub fn new(length: Duration) -> Self {
+        Self {
+            meter: Mutex::new(Meter::new(length)),
+        }
+    }
+
+    /// Counts a request that began to run at `time`.
+    pub fn record(&self, workspace: &Name, time: Time) {
+        self.meter.lock().unwrap().record(workspace, time);
+    }
+
+    /// Returns the counts of the last windows.
+    pub fn counts(&self) -> Vec<Counts> {
+        self.meter.lock().unwrap().counts().to_vec()
+    }
+
+    /// Returns the next window to report after `reported`, over all nodes.
+    pub fn due(&self, entry: &Entry, reported: Option<u64>) -> Option<Counts> {
+        let time = entry.true_time();
+        let others = entry.beats.counts();
+        let meter = self.meter.lock().unwrap();
+        meter.due(reported, others.iter(), time)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -58,10 +58,14 @@
 //! decision is as it is.
 
 pub mod cli;
+pub mod clock;
 pub mod core;
 pub mod demo;
+pub mod entry;
 pub mod error;
 pub mod load;
 pub mod node;
+pub mod platform;
 pub mod standin;
+pub mod telemetry;
 pub mod web;
--- a/src/load/deploy/mod.rs
+++ b/src/load/deploy/mod.rs
@@ -9,6 +9,7 @@
 use serde_json::json;
 use tokio::time::Instant;
 
+use crate::clock::Clock;
 use crate::core::Name;
 use crate::core::config::patch::Patch;
 use crate::core::route::servers::Class;
@@ -17,7 +18,6 @@
 use crate::load::caller;
 use crate::load::caller::Caller;
 use crate::node;
-use crate::node::clock::Clock;
 use crate::node::log::Format;
 use crate::node::operators::PatchAnswer;
 use crate::node::operators::StatusAnswer;
--- a/src/load/slopes.rs
+++ b/src/load/slopes.rs
@@ -330,10 +330,11 @@
             blocks: vec![1, 2, 3],
             prompt_tokens: 400,
             answer_tokens: 400,
+            session: None,
         };
         let filter = Filter {
             service: "service-1",
-            version: "v1",
+            version: Some("v1"),
             slots: 8,
             avoid: &[],
             alone: false,
--- a/src/node/backends/mod.rs
+++ b/src/node/backends/mod.rs
@@ -108,7 +108,7 @@
         for version in &versions {
             let filter = Filter {
                 service: choice.name,
-                version,
+                version: Some(version),
                 slots: choice.service.slots,
                 avoid,
                 alone: choice.suspect.is_some(),
--- a/src/node/callers/llm/call.rs
+++ b/src/node/callers/llm/call.rs
@@ -119,6 +119,7 @@
                 blocks: prefix::blocks(&prompt),
                 prompt_tokens: completion.prompt_tokens(),
                 answer_tokens: completion.max_tokens,
+                session: None,
             },
             route_name: shape.path().into(),
             draw: node.draw(),
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -23,11 +23,11 @@
 use crate::node::peers::Answer;
 use crate::node::peers::Call;
 use crate::node::peers::PartText;
-use crate::node::platform::Condition;
-use crate::node::platform::Events;
-use crate::node::platform::Unavailable;
-use crate::node::platform::WriteError;
-use crate::node::platform::remote;
+use crate::node::store::Condition;
+use crate::node::store::Events;
+use crate::node::store::Unavailable;
+use crate::node::store::WriteError;
+use crate::node::store::remote;
 
 /// Key of the head object.
 pub const HEAD_KEY: &str = "config/head";
--- a/src/node/feed.rs
+++ b/src/node/feed.rs
@@ -21,8 +21,8 @@
 use crate::node::peers::Answer;
 use crate::node::peers::Call;
 use crate::node::peers::VmNews;
-use crate::node::platform::Unavailable;
-use crate::node::platform::remote;
+use crate::node::store::Unavailable;
+use crate::node::store::remote;
 
 /// Wait between two reads of the list by a relay.
 const LIST_WAIT: Duration = Duration::from_millis(500);
@@ -202,16 +202,12 @@
     let mut targets = Vec::new();
     for (name, service) in installed.config.services.iter() {
         for version in node.moves.versions(name, service) {
-            let ids = servers.subset(name, &version);
-            targets.extend(
-                ids.iter()
-                    .filter_map(|id| servers.get(id))
-                    .map(|server| Target {
-                        id: server.vm.id.clone(),
-                        address: server.vm.address.clone(),
-                        is_llm: service.kind == Kind::Llm,
-                    }),
-            );
+            let candidates = servers.subset(name, Some(&version));
+            targets.extend(candidates.map(|server| Target {
+                id: server.vm.id.clone(),
+                address: server.vm.address.clone(),
+                is_llm: service.kind == Kind::Llm,
+            }));
         }
     }
     targets
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -6,12 +6,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::OnceLock;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use metrics_exporter_prometheus::PrometheusBuilder;
 use metrics_exporter_prometheus::PrometheusHandle;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -20,6 +18,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+use crate::clock::Clock;
 use crate::core::Name;
 use crate::core::member::Member;
 use crate::core::member::State;
@@ -33,22 +32,21 @@
 use crate::core::time::Time;
 use crate::error::Error;
 use crate::node::admission::Admission;
-use crate::node::clock::Clock;
 use crate::node::moves::Moves;
 use crate::node::once::Once;
 use crate::node::peers::client::Peers;
-use crate::node::platform::Platform;
 use crate::node::settings::Settings;
+use crate::node::store::Platform;
 use crate::node::streams::Streams;
 use crate::node::vms::VmList;
 use crate::node::work::OpenWork;
+use crate::telemetry;
 use crate::web;
 use crate::web::client::Client;
 
 pub mod admission;
 pub mod backends;
 pub mod callers;
-pub mod clock;
 pub mod config;
 pub mod feed;
 pub mod log;
@@ -57,8 +55,9 @@
 pub mod once;
 pub mod operators;
 pub mod peers;
-pub mod platform;
+
 pub mod settings;
+pub mod store;
 pub mod streams;
 pub mod vms;
 pub mod work;
@@ -126,20 +125,6 @@
     metrics: PrometheusHandle,
 }
 
-/// Returns the metrics of this process, which all its nodes share.
-fn shared_metrics() -> PrometheusHandle {
-    static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
-    HANDLE
-        .get_or_init(|| {
-            let recorder = PrometheusBuilder::new().build_recorder();
-            let handle = recorder.handle();
-            // A recorder set by the program that uses the library stays.
-            let _ = metrics::set_global_recorder(recorder);
-            handle
-        })
-        .clone()
-}
-
 impl Node {
     /// Returns the label of this node in metrics.
     pub fn label(&self) -> Name {
@@ -297,7 +282,7 @@
     };
     let seed = crate::core::hash(&[&settings.id, &now.0.to_string()]);
     Node {
-        platform: Box::new(platform::remote::Remote::new(settings.platform)),
+        platform: Box::new(store::remote::Remote::new(settings.platform)),
         config: config::Holder::new(),
         client: Client::new(),
         peers: Peers::new(),
@@ -323,7 +308,7 @@
         rng: Mutex::new(SmallRng::seed_from_u64(seed)),
         numbers: AtomicU64::new(1),
         incarnation: now.as_millis(),
-        metrics: shared_metrics(),
+        metrics: telemetry::metrics::shared(),
         settings,
         clock,
     }
--- a/src/node/moves.rs
+++ b/src/node/moves.rs
@@ -24,8 +24,8 @@
 use crate::node::Node;
 use crate::node::members;
 use crate::node::peers::MoveEvidence;
-use crate::node::platform::Condition;
-use crate::node::platform::WriteError;
+use crate::node::store::Condition;
+use crate::node::store::WriteError;
 
 /// Wait between two looks at all moves.
 const STEP: Duration = Duration::from_millis(100);
--- a/src/node/platform/remote.rs
+++ b/src/node/store/remote.rs
@@ -20,14 +20,14 @@
 use serde::de::DeserializeOwned;
 use tokio::sync::oneshot;
 
-use crate::node::platform::Condition;
-use crate::node::platform::Events;
-use crate::node::platform::Notice;
-use crate::node::platform::Platform;
-use crate::node::platform::Unavailable;
-use crate::node::platform::Versioned;
-use crate::node::platform::VmChanges;
-use crate::node::platform::WriteError;
+use crate::node::store::Condition;
+use crate::node::store::Events;
+use crate::node::store::Notice;
+use crate::node::store::Platform;
+use crate::node::store::Unavailable;
+use crate::node::store::Versioned;
+use crate::node::store::VmChanges;
+use crate::node::store::WriteError;
 
 /// Threads for short calls.
 const CALL_THREADS: usize = 4;
--- /dev/null
+++ b/src/platform/boot.rs
@@ -0,0 +1,179 @@
+//! The platform's settings file.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use serde::Deserialize;
+
+use crate::core::Name;
+use crate::core::table::Table;
+use crate::entry::settings::Bounds;
+use crate::entry::settings::Settings;
+
+/// Variable that holds the path of the settings file.
+pub const PATH_VARIABLE: &str = "CASSIALOCK_CONFIG";
+
+/// Port of the metrics, as the deploy file names it.
+pub const METRICS_PORT: u16 = 9_464;
+
+/// Why the settings cannot be used.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Fault {
+    /// The field, or the file.
+    pub place: String,
+    /// What is wrong, in one clause.
+    pub problem: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.place, self.problem)
+    }
+}
+
+#[derive(Deserialize)]
+struct WireSettings {
+    node: String,
+    zone: String,
+    ip: String,
+    /// First and last port for traffic between nodes.
+    port_range: (u16, u16),
+    #[serde(default)]
+    zones: Table<String>,
+    #[serde(default)]
+    listen: WireListen,
+    #[serde(default)]
+    limits: WireLimits,
+    #[serde(default)]
+    bounds: WireBounds,
+    platform: WirePlatform,
+    cloud: Option<WirePlatform>,
+}
+
+#[derive(Default, Deserialize)]
+struct WireListen {
+    front: Option<SocketAddr>,
+    ready: Option<SocketAddr>,
+    directory: Option<SocketAddr>,
+}
+
+#[derive(Default, Deserialize)]
+struct WireLimits {
+    memory_mb: Option<u64>,
+}
+
+#[derive(Default, Deserialize)]
+struct WireBounds {
+    grace_period_s: Option<f64>,
+    config_ms: Option<f64>,
+    revoke_ms: Option<f64>,
+    fail_closed: Option<bool>,
+    retry_budget_ratio: Option<f64>,
+    budget_slack: Option<f64>,
+    lease_ms: Option<f64>,
+    window_s: Option<f64>,
+    expose_share: Option<f64>,
+    expose_slack: Option<f64>,
+    ttl_max_s: Option<f64>,
+}
+
+#[derive(Deserialize)]
+struct WirePlatform {
+    address: SocketAddr,
+}
+
+/// Memory of a process whose limit is not given, in MB.
+const DEFAULT_MEMORY_MB: u64 = 256;
+
+/// Returns the path of the settings file, if the platform names one.
+pub fn path() -> Option<PathBuf> {
+    std::env::var_os(PATH_VARIABLE).map(PathBuf::from)
+}
+
+/// Reads the settings file.
+///
+/// # Errors
+///
+/// Returns the first field that cannot be used.
+pub fn read(path: &std::path::Path) -> Result<Settings, Fault> {
+    let text = std::fs::read_to_string(path).map_err(|e| Fault {
+        place: path.display().to_string(),
+        problem: e.to_string(),
+    })?;
+    parse(&text)
+}
+
+/// Parses the text of a settings file.
+///
+/// # Errors
+///
+/// Returns the first field that cannot be used.
+pub fn parse(text: &str) -> Result<Settings, Fault> {
+    let deserializer = toml::Deserializer::parse(text).map_err(|e| Fault {
+        place: "settings file".into(),
+        problem: e.message().to_string(),
+    })?;
+    let wire: WireSettings = serde_path_to_error::deserialize(deserializer).map_err(|e| Fault {
+        place: e.path().to_string(),
+        problem: e.inner().message().to_string(),
+    })?;
+    let port_fault = |problem: &str| Fault {
+        place: "port_range".into(),
+        problem: problem.into(),
+    };
+    let (first, last) = wire.port_range;
+    if first == 0 || first > last {
+        return Err(port_fault("expected a first and a last port"));
+    }
+    let address = |port: u16| -> Result<SocketAddr, Fault> {
+        format!("{}:{port}", wire.ip).parse().map_err(|_| Fault {
+            place: "ip".into(),
+            problem: format!("not an IP number: {:?}", wire.ip),
+        })
+    };
+    let mut domains: Vec<Name> = wire.zones.iter().map(|(zone, _)| zone.clone()).collect();
+    if domains.is_empty() {
+        domains.push(wire.zone.as_str().into());
+    }
+    Ok(Settings {
+        node: wire.node.as_str().into(),
+        domain: wire.zone.as_str().into(),
+        domains,
+        front: wire.listen.front,
+        ready: wire.listen.ready,
+        directory: wire.listen.directory,
+        peer: address(first)?,
+        metrics: Some(address(METRICS_PORT)?),
+        store: wire.platform.address,
+        cloud: wire.cloud.map(|cloud| cloud.address),
+        memory: wire.limits.memory_mb.unwrap_or(DEFAULT_MEMORY_MB) * 1_000_000,
+        bounds: bounds(&wire.bounds)?,
+    })
+}
+
+fn bounds(wire: &WireBounds) -> Result<Bounds, Fault> {
+    let span = |place: &str, value: Option<f64>, unit: f64, default: Duration| match value {
+        None => Ok(default),
+        Some(value) => Duration::try_from_secs_f64(value * unit).map_err(|_| Fault {
+            place: format!("bounds.{place}"),
+            problem: format!("not a length of time: {value}"),
+        }),
+    };
+    let default = Bounds::default();
+    let ms = 0.001;
+    Ok(Bounds {
+        grace: span("grace_period_s", wire.grace_period_s, 1.0, default.grace)?,
+        config: span("config_ms", wire.config_ms, ms, default.config)?,
+        revoke: span("revoke_ms", wire.revoke_ms, ms, default.revoke)?,
+        fail_closed: wire.fail_closed.unwrap_or(default.fail_closed),
+        retry_ratio: wire.retry_budget_ratio.unwrap_or(default.retry_ratio),
+        retry_slack: wire.budget_slack.unwrap_or(default.retry_slack),
+        lease: span("lease_ms", wire.lease_ms, ms, default.lease)?,
+        window: span("window_s", wire.window_s, 1.0, default.window)?,
+        expose_part: wire.expose_share.unwrap_or(default.expose_part),
+        expose_slack: wire.expose_slack.unwrap_or(default.expose_slack),
+        keep_max: span("ttl_max_s", wire.ttl_max_s, 1.0, default.keep_max)?,
+    })
+}
--- /dev/null
+++ b/src/platform/decode.rs
@@ -0,0 +1,333 @@
+//! Decodes the platform's objects into the project's types.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde_json::Value;
+
+use crate::core::Name;
+use crate::core::catalog::Catalog;
+use crate::core::catalog::Engine;
+use crate::core::catalog::Kind;
+use crate::core::catalog::Limits;
+use crate::core::catalog::Route;
+use crate::core::catalog::Scale;
+use crate::core::catalog::Service;
+use crate::core::catalog::Unit;
+use crate::core::catalog::Workspace;
+use crate::core::route::servers::Class;
+use crate::core::table::Table;
+use crate::entry::outside::Content;
+use crate::entry::outside::Declared;
+use crate::entry::outside::Listed;
+use crate::entry::outside::Outcome;
+
+/// Tokens for which a request without a count stands, if the workspace names none.
+const DEFAULT_PLAIN_TOKENS: u64 = 1;
+
+fn millis(value: f64) -> Duration {
+    Duration::try_from_secs_f64(value / 1_000.0).unwrap_or_default()
+}
+
+fn seconds(value: f64) -> Duration {
+    Duration::try_from_secs_f64(value).unwrap_or_default()
+}
+
+/// Decodes with the place of the first fault.
+fn read<'de, T: Deserialize<'de>>(value: &'de Value) -> Result<T, String> {
+    serde_path_to_error::deserialize(value).map_err(|e| e.to_string())
+}
+
+#[derive(Deserialize)]
+struct WireCatalog {
+    version: u64,
+    #[serde(default)]
+    routes: Vec<Value>,
+    #[serde(default)]
+    services: Vec<WireService>,
+    #[serde(default)]
+    limits: WireLimits,
+    #[serde(default)]
+    tenants: Vec<WireTenant>,
+}
+
+#[derive(Deserialize)]
+struct WireRoute {
+    name: String,
+    host: String,
+    path_prefix: String,
+    kind: String,
+    timeout_ms: f64,
+    target_latency_ms: Option<f64>,
+    #[serde(default)]
+    priority: u8,
+    service: Option<String>,
+    #[serde(default)]
+    traffic_split: Vec<WireSplit>,
+    max_attempts: Option<u32>,
+    #[serde(default)]
+    public: bool,
+    #[serde(default)]
+    resumable: bool,
+    gap_aim_ms: Option<f64>,
+}
+
+#[derive(Deserialize)]
+struct WireSplit {
+    service: String,
+    weight: u32,
+}
+
+#[derive(Deserialize)]
+struct WireService {
+    name: String,
+    #[serde(default)]
+    health_path: String,
+    /// Channels that one server accepts, from all callers together.
+    #[serde(default)]
+    max_conns: u32,
+    engine: Option<WireEngine>,
+    scale: Option<WireScale>,
+}
+
+#[derive(Deserialize)]
+struct WireEngine {
+    slots: u32,
+    #[serde(default)]
+    kv_capacity_tokens: u64,
+}
+
+#[derive(Deserialize)]
+struct WireScale {
+    /// Bounds per zone, for both classes of servers together.
+    min: u32,
+    max: u32,
+    #[serde(default)]
+    boot_s: f64,
+    /// Part of the price of a server that cannot be reclaimed.
+    spot_price: Option<f64>,
+    #[serde(default)]
+    zone_prices: Table<f64>,
+}
+
+#[derive(Default, Deserialize)]
+struct WireLimits {
+    max_header_bytes: Option<usize>,
+    max_body_bytes: Option<usize>,
+    header_timeout_ms: Option<f64>,
+    idle_timeout_ms: Option<f64>,
+}
+
+#[derive(Deserialize)]
+struct WireTenant {
+    name: String,
+    #[serde(default)]
+    api_keys: Vec<String>,
+    priority: Option<u8>,
+    #[serde(default)]
+    billing_unit: String,
+    plain_tokens: Option<u64>,
+    /// Units a second over all nodes; 0 for no limit.
+    #[serde(default)]
+    rate_per_s: f64,
+    #[serde(default)]
+    burst: f64,
+}
+
+/// Decodes the operator's declaration.
+///
+/// A route that cannot be read makes the whole unusable, since requests to it
+/// would else be refused as unknown.
+pub fn catalog(spec: Value) -> Content {
+    match try_catalog(&spec) {
+        Ok(catalog) => Content::Catalog(Box::new(catalog)),
+        Err(reason) => Content::Unreadable(reason),
+    }
+}
+
+fn try_catalog(spec: &Value) -> Result<Catalog, String> {
+    let wire: WireCatalog = read(spec)?;
+    let mut routes = Vec::with_capacity(wire.routes.len());
+    for (at, value) in wire.routes.iter().enumerate() {
+        routes.push(route(value).map_err(|e| format!("routes[{at}].{e}"))?);
+    }
+    let services = wire.services.into_iter().map(service).collect();
+    let workspaces = wire.tenants.into_iter().map(workspace).collect();
+    Ok(Catalog::new(wire.version)
+        .with_routes(routes)
+        .with_services(services)
+        .with_workspaces(workspaces)
+        .with_limits(limits(&wire.limits)))
+}
+
+fn route(value: &Value) -> Result<Route, String> {
+    let wire: WireRoute = read(value)?;
+    let kind = match (&*wire.kind, wire.resumable) {
+        ("idempotent", _) => Kind::Idempotent,
+        ("non_idempotent", _) => Kind::Once,
+        ("streaming", false) => Kind::Stream,
+        ("streaming", true) => Kind::Resumable,
+        (other, _) => return Err(format!("kind: unknown kind {other:?}")),
+    };
+    let mut split: Vec<(Name, u32)> = wire
+        .traffic_split
+        .into_iter()
+        .map(|part| (part.service.into(), part.weight))
+        .collect();
+    if split.is_empty() {
+        let service = wire.service.ok_or("service: is missing")?;
+        split.push((service.into(), 1));
+    }
+    let timeout = millis(wire.timeout_ms);
+    Ok(Route {
+        name: wire.name.into(),
+        host: wire.host.to_ascii_lowercase().into(),
+        prefix: wire.path_prefix.into(),
+        kind,
+        timeout,
+        target: wire.target_latency_ms.map_or(timeout, millis),
+        pause: wire.gap_aim_ms.map(millis),
+        priority: wire.priority,
+        split,
+        attempts: wire.max_attempts.unwrap_or(1),
+        is_public: wire.public,
+    })
+}
+
+fn service(wire: WireService) -> (Name, Service) {
+    let service = Service {
+        health_path: wire.health_path.into(),
+        max_connections: wire.max_conns,
+        engine: wire.engine.map(|engine| Engine {
+            slots: engine.slots,
+            memory_tokens: engine.kv_capacity_tokens,
+        }),
+        scale: wire.scale.map(|scale| Scale {
+            min: scale.min,
+            max: scale.max,
+            boot: seconds(scale.boot_s),
+            reclaimable_price: scale.spot_price,
+            domain_prices: scale.zone_prices,
+        }),
+    };
+    (wire.name.into(), service)
+}
+
+fn workspace(wire: WireTenant) -> Workspace {
+    let unit = if wire.billing_unit == "token_stream" {
+        Unit::Tokens {
+            plain: wire.plain_tokens.unwrap_or(DEFAULT_PLAIN_TOKENS),
+        }
+    } else {
+        Unit::Requests
+    };
+    Workspace {
+        name: wire.name.into(),
+        keys: wire.api_keys.into_iter().map(Into::into).collect(),
+        priority: wire.priority,
+        rate: wire.rate_per_s,
+        burst: wire.burst,
+        unit,
+    }
+}
+
+fn limits(wire: &WireLimits) -> Limits {
+    let default = Limits::default();
+    Limits {
+        head_bytes: wire.max_header_bytes.unwrap_or(default.head_bytes),
+        body_bytes: wire.max_body_bytes.unwrap_or(default.body_bytes),
+        head_time: wire.header_timeout_ms.map_or(default.head_time, millis),
+        idle_time: wire.idle_timeout_ms.map_or(default.idle_time, millis),
+    }
+}
+
+#[derive(Deserialize)]
+struct WireServer {
+    service: String,
+    address: String,
+    zone: String,
+    version: String,
+    #[serde(default)]
+    slots: u32,
+    state: String,
+    /// Unix millisecond of the start; 0 if the server does not say.
+    #[serde(default)]
+    born: u64,
+    #[serde(default)]
+    spot: bool,
+    leaves_ms: Option<f64>,
+}
+
+/// Decodes the entry of a backend server.
+pub fn backend(name: &str, spec: &Value) -> Content {
+    match try_backend(name, spec) {
+        Ok(listed) => Content::Backend(listed),
+        Err(reason) => Content::Unreadable(reason),
+    }
+}
+
+fn try_backend(name: &str, spec: &Value) -> Result<Listed, String> {
+    let wire: WireServer = read(spec)?;
+    let is_leaving = match &*wire.state {
+        "ready" => false,
+        "draining" => true,
+        other => return Err(format!("state: unknown state {other:?}")),
+    };
+    let address = wire
+        .address
+        .parse()
+        .map_err(|_| format!("address: not an IP number and port: {:?}", wire.address))?;
+    Ok(Listed {
+        instance: name.into(),
+        born: wire.born,
+        service: wire.service.into(),
+        address,
+        domain: wire.zone.into(),
+        version: wire.version.into(),
+        slots: wire.slots,
+        is_leaving,
+        class: if wire.spot {
+            Class::Reclaimable
+        } else {
+            Class::OnDemand
+        },
+        leaves_in: wire.leaves_ms.map(millis),
+    })
+}
+
+#[derive(Deserialize)]
+struct WireRollout {
+    service: String,
+    target: String,
+    duration_s: f64,
+}
+
+/// Decodes a version move and how it stands.
+pub fn declared(spec: Value, status: &Value) -> Content {
+    let wire: WireRollout = match read(&spec) {
+        Ok(wire) => wire,
+        Err(reason) => return Content::Unreadable(reason),
+    };
+    let is_of_target = status["target"].as_str() == Some(&wire.target);
+    let outcome = match status["state"].as_str().filter(|_| is_of_target) {
+        Some("complete") => Some(Outcome::Done),
+        Some("rolled_back") => Some(Outcome::TakenBack),
+        Some(_) => Some(Outcome::Running),
+        None => None,
+    };
+    Content::Move(Declared {
+        service: wire.service.into(),
+        target: wire.target.into(),
+        within: seconds(wire.duration_s),
+        outcome,
+    })
+}
+
+/// Returns the platform's word for how a move stands.
+pub const fn outcome_name(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Running => "running",
+        Outcome::Done => "complete",
+        Outcome::TakenBack => "rolled_back",
+    }
+}
--- /dev/null
+++ b/src/platform/mod.rs
@@ -0,0 +1,30 @@
+//! The adapter to the users' platform: its names, formats and calls.
+//!
+//! Everything here translates between the platform's protocols and the types
+//! of [`crate::entry::outside`], and decides nothing.
+
+use std::sync::Arc;
+
+use crate::entry::outside::Outside;
+use crate::entry::settings::Settings;
+use crate::platform::cloud::CloudCalls;
+use crate::platform::dialect::Headers;
+use crate::platform::http::Client;
+use crate::platform::objects::Objects;
+
+pub mod boot;
+pub mod cloud;
+pub mod decode;
+pub mod dialect;
+pub mod http;
+pub mod objects;
+
+/// Returns everything outside of an entry, as the settings name it.
+pub fn connect(settings: &Settings) -> Outside {
+    let client = Arc::new(Client::new());
+    Outside {
+        dialect: Box::new(Headers::new()),
+        store: Box::new(Objects::new(Arc::clone(&client), settings.store)),
+        cloud: Box::new(CloudCalls::new(client, settings.cloud)),
+    }
+}
--- /dev/null
+++ b/src/telemetry/mod.rs
@@ -0,0 +1,4 @@
+//! What a process tells its operators: event lines and metrics.
+
+pub mod events;
+pub mod metrics;
--- a/src/web/mod.rs
+++ b/src/web/mod.rs
@@ -29,6 +29,7 @@
 use tokio::sync::watch;
 
 pub mod client;
+pub mod pool;
 
 /// Body of every response.
 pub type Body = http_body_util::combinators::UnsyncBoxBody<Bytes, io::Error>;
@@ -39,6 +40,9 @@
 /// Largest head of a request, in bytes.
 const MAX_HEAD_BYTES: usize = 8 * 1024;
 
+/// Least size of a connection's buffer that the HTTP library takes.
+const MIN_BUFFER_BYTES: usize = 8 * 1024;
+
 /// Time that open connections get when a server stops.
 const STOP_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -165,13 +169,45 @@
     let _ = stop.wait_for(|stop| *stop).await;
 }
 
+/// Limits of a connection, taken when it is accepted.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Serving {
+    /// Largest head of a request, in bytes.
+    pub head_bytes: usize,
+    /// Longest time for the next head to arrive as a whole.
+    pub idle_time: Duration,
+}
+
+impl Default for Serving {
+    fn default() -> Self {
+        Self {
+            head_bytes: MAX_HEAD_BYTES,
+            idle_time: HEAD_TIMEOUT,
+        }
+    }
+}
+
 /// Serves HTTP on `listener` until `stop` becomes true.
 ///
 /// Open connections finish the request that they are at, within a few seconds.
-pub async fn serve<H, F>(listener: TcpListener, handler: H, mut stop: watch::Receiver<bool>)
+pub async fn serve<H, F>(listener: TcpListener, handler: H, stop: watch::Receiver<bool>)
 where
     H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
+{
+    serve_with(listener, handler, stop, Serving::default).await;
+}
+
+/// Serves HTTP like [`serve`], with limits that are asked for at each connection.
+pub async fn serve_with<H, F, L>(
+    listener: TcpListener,
+    handler: H,
+    mut stop: watch::Receiver<bool>,
+    limits: L,
+) where
+    H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+    L: Fn() -> Serving + Send,
 {
     let graceful = GracefulShutdown::new();
     loop {
@@ -188,6 +224,9 @@
         };
         // A failure to set the option costs latency only.
         let _ = socket.set_nodelay(true);
+        // Without it, a silent peer holds the connection for longer.
+        let _ = pool::watch_silence(&socket);
+        let limits = limits();
         let handler = handler.clone();
         let service = service_fn(move |request| {
             let response = handler(request, from);
@@ -201,8 +240,8 @@
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(HEAD_TIMEOUT)
-            .max_buf_size(MAX_HEAD_BYTES)
+            .header_read_timeout(limits.idle_time)
+            .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES))
             .serve_connection(TokioIo::new(socket), service);
         let connection = graceful.watch(connection);
         tokio::spawn(async move {
--- a/tests/contract/platform.rs
+++ b/tests/contract/platform.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 
 use cassialock::load::caller;
-use cassialock::node::platform::Condition;
-use cassialock::node::platform::Platform;
-use cassialock::node::platform::Unavailable;
-use cassialock::node::platform::WriteError;
-use cassialock::node::platform::remote::Remote;
+use cassialock::node::store::Condition;
+use cassialock::node::store::Platform;
+use cassialock::node::store::Unavailable;
+use cassialock::node::store::WriteError;
+use cassialock::node::store::remote::Remote;
 use cassialock::standin::Standin;
 use cassialock::standin::platform;
 use cassialock::standin::platform::Counts;
--- a/tests/decisions/route.rs
+++ b/tests/decisions/route.rs
@@ -84,6 +84,7 @@
         blocks: Vec::new(),
         prompt_tokens: 400,
         answer_tokens: 100,
+        session: None,
     };
     let far = Candidate {
         near: false,
@@ -183,7 +184,7 @@
 
 const FILTER: Filter<'_> = Filter {
     service: "s",
-    version: "v1",
+    version: Some("v1"),
     slots: 8,
     avoid: &[],
     alone: false,
