Divide quotas by demand of the same age; learn of the store's return at once

Ruled out: slow stops (they end within 3 to 6.5 s, with long streams).

Change: the own demand is used one round late (core::limit::quota::Demand); the first watch after a failure does not wait.

--- a/src/core/limit/quota.rs
+++ b/src/core/limit/quota.rs
@@ -30,6 +30,31 @@
     EQUAL_PART * equal + (1.0 - EQUAL_PART) * (own / all).clamp(0.0, 1.0)
 }
 
+/// The demand for one workspace at this node and at the others.
+///
+/// The own demand is used one round late, because that of the others is as old
+/// when it arrives. With a newer figure of its own, each node would take too
+/// large a part while demand grows, and all of them together too much.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Demand {
+    last: f64,
+    used: f64,
+    others: f64,
+}
+
+impl Demand {
+    /// Records the figures of a new round.
+    pub fn record(&mut self, own: f64, others: f64) {
+        self.used = std::mem::replace(&mut self.last, own);
+        self.others = others;
+    }
+
+    /// Returns the part of the quota that this node may use.
+    pub fn part(&self, nodes: usize) -> f64 {
+        share(self.used, self.used + self.others, nodes)
+    }
+}
+
 /// This node's part of the quota of one workspace.
 #[derive(Clone, Debug)]
 pub struct Quota {
--- a/src/entry/feeds.rs
+++ b/src/entry/feeds.rs
@@ -30,6 +30,11 @@
 /// Time for which a watch of what changes seldom waits.
 const SELDOM_WAIT: Duration = Duration::from_secs(20);
 
+/// Time for which the first watch after an outage waits.
+///
+/// It answers at once, so that the time of the store's return is known.
+const PROBE_WAIT: Duration = Duration::from_millis(1);
+
 /// First wait after a failed call to the store.
 const BACKOFF: Duration = Duration::from_millis(100);
 
@@ -105,7 +110,10 @@
             self.revision = Some(revision);
             return Ok(());
         };
-        let wait = feed.wait(entry);
+        let wait = match self.lost {
+            Some(_) => PROBE_WAIT,
+            None => feed.wait(entry),
+        };
         match entry.outside.store.watch(feed.kind(), revision, wait).await {
             Ok(Watched::Changes(revision, changes)) => {
                 let is_empty = changes.is_empty();
--- a/src/entry/limits.rs
+++ b/src/entry/limits.rs
@@ -6,7 +6,7 @@
 use crate::core::Name;
 use crate::core::catalog::Unit;
 use crate::core::catalog::Workspace;
-use crate::core::limit::quota;
+use crate::core::limit::quota::Demand;
 use crate::core::limit::quota::Quota;
 use crate::core::request::Ask;
 use crate::core::retry::Budget;
@@ -34,7 +34,7 @@
     retry_ratio: f64,
     retry_cap: f64,
     nodes: usize,
-    others: Table<f64>,
+    demands: Table<Demand>,
 }
 
 impl Limits {
@@ -54,7 +54,7 @@
             Unit::Tokens { plain } => ask.total_tokens().unwrap_or(plain) as f64,
         };
         let mut state = self.state.lock().unwrap();
-        let part = state.part(&workspace.name, now);
+        let part = state.part(&workspace.name);
         let quota = state
             .quotas
             .get_or_insert_with(&workspace.name, || Quota::new(now));
@@ -89,13 +89,9 @@
 }
 
 impl State {
-    fn part(&self, workspace: &str, now: Time) -> f64 {
-        let own = self
-            .quotas
-            .get(workspace)
-            .map_or(0.0, |quota| quota.demand(now));
-        let others = self.others.get(workspace).copied().unwrap_or_default();
-        quota::share(own, own + others, self.nodes)
+    fn part(&self, workspace: &str) -> f64 {
+        let demand = self.demands.get(workspace).copied();
+        demand.unwrap_or_default().part(self.nodes)
     }
 
     fn budget(&mut self, service: &Name) -> &mut Budget {
@@ -115,7 +111,15 @@
     let bounds = entry.settings.load().bounds.clone();
     let mut state = entry.limits.state.lock().unwrap();
     state.nodes = nodes;
-    state.others = others;
+    let State {
+        quotas, demands, ..
+    } = &mut *state;
+    for (workspace, quota) in quotas.iter() {
+        let others = others.get(workspace).copied().unwrap_or_default();
+        demands
+            .get_or_insert_with(workspace, Demand::default)
+            .record(quota.demand(now), others);
+    }
     let (ratio, cap) = (
         bounds.retry_ratio * RATIO_PART,
         (bounds.retry_slack * SLACK_PART / nodes.max(1) as f64).max(1.0),
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -10,5 +10,6 @@
 mod members;
 mod moves;
 mod once;
+mod quota;
 mod retry;
 mod route;
--- /dev/null
+++ b/tests/entry/feeds.rs
@@ -0,0 +1,85 @@
+//! Following the store through outages.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cassialock::entry::feeds;
+use cassialock::entry::outside::Change;
+use cassialock::entry::outside::Listing;
+use cassialock::entry::outside::StoreError;
+use cassialock::entry::outside::Watched;
+
+use crate::fakes;
+use crate::fakes::Answer;
+use crate::fakes::Script;
+
+/// Longest wait of the watch that finds out whether the store is back.
+const PROBE: Duration = Duration::from_millis(10);
+
+fn script(answers: Vec<Answer>) -> Arc<Script> {
+    let script = Script::default();
+    *script.listing.lock().unwrap() = Listing {
+        revision: 1,
+        objects: vec![fakes::backend("i-1", 1)],
+    };
+    *script.answers.lock().unwrap() = answers.into();
+    Arc::new(script)
+}
+
+fn down() -> Answer {
+    Answer::Now(Err(StoreError::Refused("connect".into())))
+}
+
+fn removal(instance: &str) -> Answer {
+    let change = Change {
+        object: fakes::backend(instance, 2),
+        is_removed: true,
+    };
+    Answer::Now(Ok(Watched::Changes(2, vec![change])))
+}
+
+/// A watch that waits as usual after an outage answers only seconds later, and
+/// until then the store's return is not known.
+#[tokio::test(start_paused = true)]
+async fn the_first_watch_after_an_outage_answers_at_once() {
+    let mut answers: Vec<Answer> = (0..8).map(|_| down()).collect();
+    answers.extend([Answer::AfterWait, Answer::AfterWait]);
+    let script = script(answers);
+    let entry = fakes::entry(&script);
+    let task = tokio::spawn(feeds::follow_backends(Arc::clone(&entry)));
+    tokio::time::sleep(Duration::from_secs(30)).await;
+    task.abort();
+    let asked = script.asked.lock().unwrap();
+    assert!(asked[0].wait > PROBE, "the first watch waits");
+    for probe in &asked[1..=8] {
+        assert!(probe.wait <= PROBE, "the store is away: {probe:?}");
+    }
+    assert!(asked[9].wait > PROBE, "the store is back");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_removal_long_after_an_outage_takes_effect_at_once() {
+    let mut answers: Vec<Answer> = (0..8).map(|_| down()).collect();
+    answers.extend([Answer::AfterWait, Answer::AfterWait, removal("i-1")]);
+    let script = script(answers);
+    let entry = fakes::entry(&script);
+    let task = tokio::spawn(feeds::follow_backends(Arc::clone(&entry)));
+    tokio::time::sleep(Duration::from_secs(30)).await;
+    task.abort();
+    let now = entry.clock.now();
+    assert!(!entry.backends.has_usable("dosel-llm", now));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_removal_right_after_an_outage_is_held_back() {
+    let mut answers: Vec<Answer> = (0..8).map(|_| down()).collect();
+    answers.push(removal("i-1"));
+    let script = script(answers);
+    let entry = fakes::entry(&script);
+    let task = tokio::spawn(feeds::follow_backends(Arc::clone(&entry)));
+    tokio::time::sleep(Duration::from_secs(8)).await;
+    task.abort();
+    let now = entry.clock.now();
+    assert!(script.answers.lock().unwrap().is_empty());
+    assert!(entry.backends.has_usable("dosel-llm", now));
+}
--- /dev/null
+++ b/tests/entry/main.rs
@@ -0,0 +1,4 @@
+//! Entries against fakes of the store and the cloud.
+
+mod fakes;
+mod feeds;
