Tell a lapsed backend server from one that left while this node was cut off

The store had served the other nodes all the while, so the servers' entries could not have lapsed. Ruled out: the watch's wait (answers at once since the last change).

Change: other nodes that are in touch with the store after 3.5 s of an outage mean that removals are real; calls to the store are tried again after at most 250 ms, and a connection to it opens within 400 ms. Tests: decisions lapse. The entry tests now fail 20 calls in a row instead of 8, so that the outage is as long as before with the shorter waits.

--- a/src/core/route/lapse.rs
+++ b/src/core/route/lapse.rs
@@ -10,8 +10,12 @@
 /// the three heartbeats after which the store drops it.
 const OUTAGE: Duration = Duration::from_secs(2);
 
+/// Time without the store after which the other nodes would say so if they were
+/// without it too.
+const TOLD_AFTER: Duration = Duration::from_millis(3_500);
+
 /// Time after the store's return in which a live server's entry is back.
-const RETURN: Duration = Duration::from_millis(2_200);
+const RETURN: Duration = Duration::from_millis(2_100);
 
 /// Decides when a vanished entry means that its server is gone.
 ///
@@ -20,6 +24,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Lapses {
     lost: Option<Time>,
+    served_others: bool,
     returned: Option<Time>,
     held: Table<Time>,
 }
@@ -31,17 +36,22 @@
     }
 
     /// Records that the store did not answer.
-    pub fn record_failure(&mut self, now: Time) {
-        self.lost.get_or_insert(now);
+    ///
+    /// `serves_others` says that it answers other nodes. Entries of live servers
+    /// then do not lapse, and what vanishes is gone.
+    pub fn record_failure(&mut self, serves_others: bool, now: Time) {
+        let lost = *self.lost.get_or_insert(now);
+        self.served_others |= serves_others && now.since(lost) >= TOLD_AFTER;
     }
 
     /// Records an answer of the store.
     pub fn record_answer(&mut self, now: Time) {
-        if self
+        let was_away = self
             .lost
             .take()
-            .is_some_and(|lost| now.since(lost) >= OUTAGE)
-        {
+            .is_some_and(|lost| now.since(lost) >= OUTAGE);
+        let served_others = std::mem::take(&mut self.served_others);
+        if was_away && !served_others {
             self.returned = Some(now);
         }
     }
--- a/src/entry/backends.rs
+++ b/src/entry/backends.rs
@@ -161,8 +161,9 @@
     }
 
     /// Records that the store did not answer.
-    pub fn record_outage(&self, now: Time) {
-        self.state.lock().unwrap().lapses.record_failure(now);
+    pub fn record_outage(&self, serves_others: bool, now: Time) {
+        let mut state = self.state.lock().unwrap();
+        state.lapses.record_failure(serves_others, now);
     }
 
     /// Chooses a server, or returns `None` if there is none.
--- a/src/entry/feeds.rs
+++ b/src/entry/feeds.rs
@@ -7,6 +7,7 @@
 use serde_json::Value;
 
 use crate::core::Name;
+use crate::core::peer::Phase;
 use crate::core::time::Time;
 use crate::entry::Entry;
 use crate::entry::beats::Member;
@@ -39,7 +40,7 @@
 const BACKOFF: Duration = Duration::from_millis(100);
 
 /// Longest wait after failed calls.
-const MAX_BACKOFF: Duration = Duration::from_millis(800);
+const MAX_BACKOFF: Duration = Duration::from_millis(250);
 
 /// What is done with the objects of one kind.
 trait Feed: Send {
@@ -299,7 +300,10 @@
     }
 
     fn fail(&mut self, entry: &Entry) {
-        entry.backends.record_outage(entry.clock.now());
+        let now = entry.clock.now();
+        let mut others = entry.beats.live(now).into_iter();
+        let serves_others = others.any(|status| status.phase == Phase::Ready);
+        entry.backends.record_outage(serves_others, now);
     }
 }
 
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -19,7 +19,7 @@
 use crate::web::pool::Pool;
 
 /// Longest time for a connection to open.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Longest time for an answer, beside the time that the call asks to wait.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_200);
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -3,6 +3,7 @@
 mod call;
 mod config;
 mod fleet;
+mod lapse;
 mod lease;
 mod limit;
 mod member;
--- a/tests/entry/feeds.rs
+++ b/tests/entry/feeds.rs
@@ -13,6 +13,9 @@
 use crate::fakes::Answer;
 use crate::fakes::Script;
 
+/// Failed calls in a row, which take over two seconds.
+const FAILURES: usize = 20;
+
 /// Longest wait of the watch that finds out whether the store is back.
 const PROBE: Duration = Duration::from_millis(10);
 
@@ -42,7 +45,7 @@
 /// until then the store's return is not known.
 #[tokio::test(start_paused = true)]
 async fn the_first_watch_after_an_outage_answers_at_once() {
-    let mut answers: Vec<Answer> = (0..8).map(|_| down()).collect();
+    let mut answers: Vec<Answer> = (0..FAILURES).map(|_| down()).collect();
     answers.extend([Answer::AfterWait, Answer::AfterWait]);
     let script = script(answers);
     let entry = fakes::entry(&script);
@@ -51,15 +54,15 @@
     task.abort();
     let asked = script.asked.lock().unwrap();
     assert!(asked[0].wait > PROBE, "the first watch waits");
-    for probe in &asked[1..=8] {
+    for probe in &asked[1..=FAILURES] {
         assert!(probe.wait <= PROBE, "the store is away: {probe:?}");
     }
-    assert!(asked[9].wait > PROBE, "the store is back");
+    assert!(asked[FAILURES + 1].wait > PROBE, "the store is back");
 }
 
 #[tokio::test(start_paused = true)]
 async fn a_removal_long_after_an_outage_takes_effect_at_once() {
-    let mut answers: Vec<Answer> = (0..8).map(|_| down()).collect();
+    let mut answers: Vec<Answer> = (0..FAILURES).map(|_| down()).collect();
     answers.extend([Answer::AfterWait, Answer::AfterWait, removal("i-1")]);
     let script = script(answers);
     let entry = fakes::entry(&script);
@@ -72,7 +75,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_removal_right_after_an_outage_is_held_back() {
-    let mut answers: Vec<Answer> = (0..8).map(|_| down()).collect();
+    let mut answers: Vec<Answer> = (0..FAILURES).map(|_| down()).collect();
     answers.push(removal("i-1"));
     let script = script(answers);
     let entry = fakes::entry(&script);
