Order servers from the peak of the load; gather changes; let large requests through small quota parts

Cause 1: orders followed the requests of the moment. Cause 2: every change of a backend server cost one paid watch for each node, and the watch of the declaration answered more often than its proof needs. Cause 3: the burst of a lowered quota, divided over 9 nodes, was smaller than most requests of the largest kind, which were refused while small ones passed.

Change: the highest load of the last 20 s counts, and no fewer servers are ordered than 60% of those there until 12 s of requests were seen; changes of servers are gathered for 200 ms; the declaration is watched for 2.1 s; a node may use its part of half of the quota's slack at once. Tests: decisions orders, quota.

--- a/src/core/fleet/orders.rs
+++ b/src/core/fleet/orders.rs
@@ -13,17 +13,82 @@
 use crate::core::time::Time;
 
 /// Requests at one server at which all of them still meet their targets.
-const COMFORT: f64 = 14.0;
+const COMFORT: f64 = 12.0;
 
 /// Part of the slots of a server that is used at most.
 const SLOT_PART: f64 = 0.7;
 
-/// Returns the servers that carry `running` requests at the same time.
-pub fn needed(running: f64, slots: u32) -> u32 {
-    let comfort = COMFORT.min(f64::from(slots) * SLOT_PART).max(1.0);
-    (running / comfort).ceil().max(1.0) as u32
+/// Time constant with which the measured load follows the requests that run.
+const LOAD_SPAN: Duration = Duration::from_millis(1_500);
+
+/// Time for which the highest load is provided for after it has passed.
+const PEAK_SPAN: Duration = Duration::from_secs(20);
+
+/// Time with requests after which the measured load may lead to fewer servers.
+const LEARN_SPAN: Duration = Duration::from_secs(12);
+
+/// The requests of a service that run at the same time, over all nodes.
+///
+/// Servers take seconds to start and their caches longer to fill, so the
+/// highest load of the last while counts and not that of the moment.
+#[derive(Clone, Debug, Default)]
+pub struct Load {
+    mean: f64,
+    at: Option<Time>,
+    since: Option<Time>,
+    /// Highest load in the current span and in the one before.
+    peaks: [f64; 2],
+    turned: Time,
 }
 
+impl Load {
+    /// Creates the load of a service without requests.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Records that `running` requests run now.
+    pub fn record(&mut self, running: f64, now: Time) {
+        let passed = self.at.map_or(Duration::ZERO, |at| now.since(at));
+        let part = 1.0 - (-passed.as_secs_f64() / LOAD_SPAN.as_secs_f64()).exp();
+        self.mean += part * (running - self.mean);
+        self.at = Some(now);
+        if running > 0.0 {
+            self.since.get_or_insert(now);
+        }
+        if now.since(self.turned) > PEAK_SPAN / 2 {
+            self.peaks = [self.mean, self.peaks[0]];
+            self.turned = now;
+        }
+        self.peaks[0] = self.peaks[0].max(self.mean);
+    }
+
+    /// Returns the servers with `slots` each that carry the load, or `None` if
+    /// too little of it was seen to order fewer than there are.
+    pub fn needed(&self, slots: u32, now: Time) -> Need {
+        let comfort = COMFORT.min(f64::from(slots) * SLOT_PART).max(1.0);
+        let peak = self.peaks[0].max(self.peaks[1]);
+        Need {
+            servers: (peak / comfort).ceil().max(1.0) as u32,
+            is_learned: self
+                .since
+                .is_some_and(|since| now.since(since) >= LEARN_SPAN),
+        }
+    }
+}
+
+/// The servers that a service needs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Need {
+    /// How many carry the load.
+    pub servers: u32,
+    /// Whether enough was seen to have fewer servers than there are.
+    pub is_learned: bool,
+}
+
+/// Part of the servers that are there that is kept until the load is known.
+const UNLEARNED_PART: f64 = 0.6;
+
 /// Time after a refused order until reclaimable servers are asked for again.
 const REFUSED_REST: Duration = Duration::from_secs(4);
 
@@ -32,7 +97,7 @@
 const REPEAT_SLACK: Duration = Duration::from_secs(3);
 
 /// Time for which servers must have been too many before fewer are ordered.
-const SHRINK_AFTER: Duration = Duration::from_secs(6);
+const SHRINK_AFTER: Duration = Duration::from_secs(3);
 
 /// The servers of a service in one failure domain.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -47,6 +112,13 @@
     pub noticed: u32,
 }
 
+impl Stock {
+    /// Returns the servers that serve.
+    fn count(&self) -> u32 {
+        self.reclaimable + self.on_demand
+    }
+}
+
 /// An order for a number of servers of one class in one failure domain.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Order {
@@ -114,15 +186,17 @@
         &mut self.rows[at]
     }
 
-    /// Returns the orders to send now, when `needed` servers carry the load.
-    pub fn orders(
-        &mut self,
-        scale: &Scale,
-        stocks: &[Stock],
-        needed: u32,
-        now: Time,
-    ) -> Vec<Order> {
+    /// Returns the orders to send now.
+    pub fn orders(&mut self, scale: &Scale, stocks: &[Stock], need: Need, now: Time) -> Vec<Order> {
         let mut orders = Vec::new();
+        let there: u32 = stocks.iter().map(Stock::count).sum();
+        let needed = if need.is_learned {
+            need.servers
+        } else {
+            // Those that are there were enough for whoever ordered them.
+            let kept = (f64::from(there) * UNLEARNED_PART).ceil() as u32;
+            need.servers.max(kept)
+        };
         let has_reclaimable = scale.reclaimable_price.is_some();
         let spread = stocks.len().saturating_sub(1).max(1) as u32;
         let target = if has_reclaimable {
--- a/src/core/limit/bucket.rs
+++ b/src/core/limit/bucket.rs
@@ -37,10 +37,12 @@
         self
     }
 
-    /// Returns what is in the bucket.
-    pub fn level(&mut self, now: Time) -> f64 {
+    /// Changes the rate and the burst; what is in the bucket stays, up to the
+    /// new size.
+    pub fn reshape(&mut self, rate: f64, burst: Duration, now: Time) {
         self.refill(now);
-        self.level
+        self.burst_s = burst.as_secs_f64();
+        self.set_rate(rate, now);
     }
 
     /// Changes the rate; what is in the bucket stays, up to the new size.
--- a/src/core/limit/quota.rs
+++ b/src/core/limit/quota.rs
@@ -59,8 +59,6 @@
 #[derive(Clone, Debug)]
 pub struct Quota {
     bucket: Option<Bucket>,
-    rate: f64,
-    burst: f64,
     demand: f64,
     at: Time,
 }
@@ -70,35 +68,30 @@
     pub fn new(now: Time) -> Self {
         Self {
             bucket: None,
-            rate: 0.0,
-            burst: 0.0,
             demand: 0.0,
             at: now,
         }
     }
 
     /// Sets this node's part; a rate of 0 means that there is no limit.
-    pub fn set(&mut self, rate: f64, burst: f64, part: f64, now: Time) {
+    ///
+    /// `slack` is what the node may use at once beyond its part of the burst, so
+    /// that a request that is large for a small part is not refused for good.
+    pub fn set(&mut self, rate: f64, burst: f64, part: f64, slack: f64, now: Time) {
         if rate <= 0.0 {
             self.bucket = None;
             return;
         }
-        let span = Duration::from_secs_f64((burst / rate).clamp(0.001, 3_600.0));
+        let own = (rate * part).max(f64::MIN_POSITIVE);
+        let span = (burst * part + slack) / own;
+        let span = Duration::from_secs_f64(span.clamp(0.001, 3_600.0));
         match &mut self.bucket {
-            Some(bucket) if self.rate == rate && self.burst == burst => {
-                bucket.set_rate(rate * part, now);
-            }
-            Some(bucket) => {
-                let level = bucket.level(now);
-                *bucket = Bucket::new(rate * part, span, now).with_level(level);
-            }
+            Some(bucket) => bucket.reshape(own, span, now),
             None => {
                 let level = burst * part * START_LEVEL;
-                self.bucket = Some(Bucket::new(rate * part, span, now).with_level(level));
+                self.bucket = Some(Bucket::new(own, span, now).with_level(level));
             }
         }
-        self.rate = rate;
-        self.burst = burst;
     }
 
     /// Returns the units that callers asked for lately, a second.
--- a/src/entry/duties.rs
+++ b/src/entry/duties.rs
@@ -7,7 +7,6 @@
 
 use crate::core::Name;
 use crate::core::config::Fencing;
-use crate::core::fleet::orders;
 use crate::core::fleet::orders::Planner;
 use crate::core::lease::Duty;
 use crate::core::lease::Lease;
@@ -258,9 +257,9 @@
                 .filter(|stock| scale.domain_prices.get(&stock.domain).is_some())
                 .collect();
             let slots = declared.engine.map_or(1, |engine| engine.slots);
-            let needed = orders::needed(running(entry, service, now), slots);
+            let need = entry.fleet.needed(service, slots, now);
             let planner = self.planners.get_or_insert_with(service, Planner::new);
-            for order in planner.orders(scale, &stocks, needed, now) {
+            for order in planner.orders(scale, &stocks, need, now) {
                 if !self.duty.may_order(entry.clock.now()) {
                     planner.record_lost(&order);
                     continue;
@@ -273,7 +272,8 @@
                         .with("domain", &*order.domain)
                         .with("reclaimable", order.class == Class::Reclaimable)
                         .with("count", order.count)
-                        .with("needed", needed)
+                        .with("needed", need.servers)
+                        .with("is_learned", need.is_learned)
                         .with("fence", holder.fence)
                         .with("outcome", format!("{reply:?}")),
                 );
@@ -418,16 +418,6 @@
     }
 }
 
-/// Returns the requests of a service that run, over all nodes.
-fn running(entry: &Entry, service: &str, now: Time) -> f64 {
-    let own = entry.backends.running().get(service).copied();
-    let others = entry.beats.live(now);
-    let others = others
-        .iter()
-        .filter_map(|status| status.running.get(service));
-    own.unwrap_or_default() + others.sum::<f64>()
-}
-
 /// Bounds the time of a call; one that takes longer may still be carried out.
 async fn limited(call: impl Future<Output = CloudReply>) -> CloudReply {
     tokio::time::timeout(CALL_TIMEOUT, call)
--- a/src/entry/feeds.rs
+++ b/src/entry/feeds.rs
@@ -23,7 +23,7 @@
 /// Part of the time to revoke a key for which a watch of the declaration waits.
 ///
 /// Each answer of the store confirms that the declaration is the newest.
-const CONFIRM_PART: f64 = 0.28;
+const CONFIRM_PART: f64 = 0.42;
 
 /// Time for which a watch of backend servers waits.
 const BACKENDS_WAIT: Duration = Duration::from_secs(8);
@@ -36,6 +36,10 @@
 /// It answers at once, so that the time of the store's return is known.
 const PROBE_WAIT: Duration = Duration::from_millis(1);
 
+/// Time for which changes of backend servers are gathered before they are asked
+/// for, since many come together and each answer of the store is paid.
+const GATHER: Duration = Duration::from_millis(200);
+
 /// First wait after a failed call to the store.
 const BACKOFF: Duration = Duration::from_millis(100);
 
@@ -50,6 +54,11 @@
     /// Time for which a watch waits.
     fn wait(&self, entry: &Entry) -> Duration;
 
+    /// Time to wait between an answer with changes and the next watch.
+    fn rest(&self) -> Duration {
+        Duration::ZERO
+    }
+
     /// Takes over all objects, as they were at `sent` or later.
     fn replace<'a>(
         &'a mut self,
@@ -127,6 +136,9 @@
                     sent
                 };
                 feed.confirm(entry, known);
+                if !is_empty {
+                    tokio::time::sleep(feed.rest()).await;
+                }
                 Ok(())
             }
             Ok(Watched::HistoryGone) => {
@@ -255,6 +267,10 @@
         BACKENDS_WAIT
     }
 
+    fn rest(&self) -> Duration {
+        GATHER
+    }
+
     fn replace<'a>(
         &'a mut self,
         entry: &'a Entry,
--- a/src/entry/limits.rs
+++ b/src/entry/limits.rs
@@ -21,6 +21,9 @@
 /// Part of the retries allowed beyond the ratio that all nodes together use.
 const SLACK_PART: f64 = 0.6;
 
+/// Part of the units allowed beyond a quota that all nodes together use.
+const QUOTA_SLACK_PART: f64 = 0.5;
+
 /// Quotas and retry budgets as divided for this entry.
 #[derive(Default)]
 pub struct Limits {
@@ -33,6 +36,7 @@
     budgets: Table<Budget>,
     retry_ratio: f64,
     retry_cap: f64,
+    quota_slack: f64,
     nodes: usize,
     demands: Table<Demand>,
 }
@@ -55,10 +59,11 @@
         };
         let mut state = self.state.lock().unwrap();
         let part = state.part(&workspace.name);
+        let slack = state.quota_slack;
         let quota = state
             .quotas
             .get_or_insert_with(&workspace.name, || Quota::new(now));
-        quota.set(workspace.rate, workspace.burst, part, now);
+        quota.set(workspace.rate, workspace.burst, part, slack, now);
         quota.take(units, now)
     }
 
@@ -124,6 +129,7 @@
         bounds.retry_ratio * RATIO_PART,
         (bounds.retry_slack * SLACK_PART / nodes.max(1) as f64).max(1.0),
     );
+    state.quota_slack = bounds.quota_slack * QUOTA_SLACK_PART / nodes.max(1) as f64;
     state.retry_ratio = ratio;
     state.retry_cap = cap;
     for (_, budget) in state.budgets.iter_mut() {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -24,6 +24,7 @@
 use crate::entry::backends::Backends;
 use crate::entry::beats::Beats;
 use crate::entry::catalog::Held;
+use crate::entry::fleet::Fleet;
 use crate::entry::limits::Limits;
 use crate::entry::moves::Moves;
 use crate::entry::outside::Outside;
@@ -42,6 +43,7 @@
 pub mod catalog;
 pub mod duties;
 pub mod feeds;
+pub mod fleet;
 pub mod front;
 pub mod limits;
 pub mod moves;
@@ -85,6 +87,8 @@
     pub beats: Beats,
     /// Requests that began to run.
     pub usage: Usage,
+    /// Load of the services, from which servers are ordered.
+    pub fleet: Fleet,
     /// Version moves.
     pub moves: Moves,
     /// Requests that took down backend servers.
@@ -110,6 +114,7 @@
             limits: Limits::new(),
             beats: Beats::new(),
             usage: Usage::new(settings.bounds.window),
+            fleet: Fleet::new(),
             moves: Moves::new(),
             settings: arc_swap::ArcSwap::from_pointee(settings),
             clock,
@@ -220,6 +225,7 @@
         step.tick().await;
         limits::refresh(&entry);
         backends::expire(&entry);
+        fleet::refresh(&entry);
         entry.moves.step(&entry);
         if count % UPKEEP_TICKS == 0 {
             metrics.run_upkeep();
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -11,6 +11,7 @@
 mod members;
 mod moves;
 mod once;
+mod orders;
 mod quota;
 mod retry;
 mod route;
--- a/tests/decisions/quota.rs
+++ b/tests/decisions/quota.rs
@@ -54,7 +54,7 @@
         for (at, node) in nodes.iter_mut().enumerate() {
             let wanted = asked(at, ms);
             let part = node.demand.part(NODES);
-            node.quota.set(RATE, RATE, part, now);
+            node.quota.set(RATE, RATE, part, 0.0, now);
             if wanted > 0.0 && node.quota.take(wanted, now).is_ok() {
                 sum += wanted;
             }
@@ -121,7 +121,7 @@
 fn a_node_starts_with_a_part_of_the_burst() {
     let now = Time::from_millis(0);
     let mut quota = Quota::new(now);
-    quota.set(1_000.0, 1_000.0, 1.0, now);
+    quota.set(1_000.0, 1_000.0, 1.0, 0.0, now);
     assert!(quota.take(300.0, now).is_ok());
     let wait = quota.take(300.0, now).unwrap_err();
     assert_eq!(wait, Duration::from_millis(300));
