Give up open watches when the store is back

The watch of the declaration is sent again within seconds, the other one hung for 9.2 s, and the node missed servers that left meanwhile; a relay told others that all was current, since it looked at the age of the declaration only.

Change: the first feed that reaches the store again makes the others send their calls anew; the watch of servers waits 2 s; a relay tells nothing when it has not heard of servers for 3.2 s. Tests: entry feeds and relay. The test of a removal long after an outage waits three times as the watch is shorter than the time that a removal is held.

--- a/src/entry/feeds.rs
+++ b/src/entry/feeds.rs
@@ -26,7 +26,7 @@
 const CONFIRM_PART: f64 = 0.2;
 
 /// Time for which a watch of backend servers waits.
-const BACKENDS_WAIT: Duration = Duration::from_secs(8);
+const BACKENDS_WAIT: Duration = Duration::from_secs(2);
 
 /// Time for which a watch of what changes seldom waits.
 const SELDOM_WAIT: Duration = Duration::from_secs(20);
@@ -44,6 +44,9 @@
 /// start are heard before their registrations are read.
 const NODES_GATHER: Duration = Duration::from_secs(3);
 
+/// Outage after which the other feeds do not trust their open calls either.
+const OUTAGE: Duration = Duration::from_millis(1_000);
+
 /// First wait after a failed call to the store.
 const BACKOFF: Duration = Duration::from_millis(100);
 
@@ -148,7 +151,16 @@
             Some(_) => PROBE_WAIT,
             None => feed.wait(entry),
         };
-        match entry.outside.store.watch(feed.kind(), revision, wait).await {
+        let mut returned = entry.store_returned.subscribe();
+        let watching = entry.outside.store.watch(feed.kind(), revision, wait);
+        let watched = tokio::select! {
+            watched = watching => watched,
+            // A call of before the outage may never be answered.
+            _ = returned.changed() => {
+                Err(StoreError::Lost("the store has been away".into()))
+            }
+        };
+        match watched {
             Ok(Watched::Changes(revision, changes)) => {
                 let is_empty = changes.is_empty();
                 feed.change(entry, revision, changes).await?;
@@ -194,6 +206,9 @@
         self.backoff = BACKOFF;
         if let Some(lost) = self.lost.take() {
             let span = entry.clock.now().since(lost);
+            if span >= OUTAGE {
+                entry.store_returned.send_modify(|count| *count += 1);
+            }
             entry.events.write(
                 Line::new("store_regained")
                     .with("feed", self.name)
@@ -369,6 +384,10 @@
         Box::pin(std::future::ready(Ok(())))
     }
 
+    fn confirm(&mut self, entry: &Entry, time: Time) {
+        entry.relay.confirm(time);
+    }
+
     fn fail(&mut self, entry: &Entry) {
         let now = entry.clock.now();
         let mut others = entry.beats.live(now).into_iter();
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -103,6 +103,8 @@
     pub open: OpenWork,
     /// Memory counted for open requests, in bytes.
     pub memory: AtomicUsize,
+    /// Counts how often the store was out of reach and is back.
+    pub store_returned: watch::Sender<u64>,
     /// Becomes true when the entry stops.
     pub leaving: watch::Sender<bool>,
     rng: Mutex<SmallRng>,
@@ -130,6 +132,7 @@
             pool: Pool::new(),
             open: OpenWork::new(),
             memory: AtomicUsize::new(0),
+            store_returned: watch::channel(0).0,
             leaving: watch::channel(false).0,
             rng: Mutex::new(SmallRng::seed_from_u64(seed)),
         }
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -26,6 +26,9 @@
 /// Age of a relay's declaration from which an entry follows the store itself.
 const MAX_AGE: Duration = Duration::from_millis(1_700);
 
+/// Age of a relay's backend servers from which it does not tell of them.
+const MAX_SILENT: Duration = Duration::from_millis(3_200);
+
 /// Changes of backend servers that are remembered for others.
 const MAX_LOGGED: usize = 1_024;
 
@@ -72,6 +75,8 @@
     /// Revision after which `log` is complete.
     floor: u64,
     log: Vec<(u64, Name, Option<Listed>)>,
+    /// When the backend servers were last read from the store.
+    confirmed: Time,
     asked: Option<(u64, Time)>,
     told: Option<Time>,
     is_told: bool,
@@ -105,6 +110,12 @@
         state.record(revision, changes);
     }
 
+    /// Records that the backend servers were as known at `time`.
+    pub fn confirm(&self, time: Time) {
+        let mut state = self.state.lock().unwrap();
+        state.confirmed = state.confirmed.max(time);
+    }
+
     /// Returns the revision up to which the backend servers are known.
     pub fn revision(&self) -> u64 {
         self.state.lock().unwrap().revision
@@ -200,11 +211,15 @@
     if entry.relay.is_told(now) || entry.is_leaving() {
         return None;
     }
+    let state = entry.relay.state.lock().unwrap();
+    if now.since(state.confirmed) > MAX_SILENT {
+        return None;
+    }
     Some(Told {
         nonce: ask.nonce,
         version: entry.catalog.version(),
         age: entry.catalog.age(now)?,
-        news: entry.relay.state.lock().unwrap().news(ask.revision),
+        news: state.news(ask.revision),
     })
 }
 
--- a/tests/entry/feeds.rs
+++ b/tests/entry/feeds.rs
@@ -63,7 +63,9 @@
 #[tokio::test(start_paused = true)]
 async fn a_removal_long_after_an_outage_takes_effect_at_once() {
     let mut answers: Vec<Answer> = (0..FAILURES).map(|_| down()).collect();
-    answers.extend([Answer::AfterWait, Answer::AfterWait, removal("i-1")]);
+    // The probe, and two usual waits, which take four seconds.
+    answers.extend((0..3).map(|_| Answer::AfterWait));
+    answers.push(removal("i-1"));
     let script = script(answers);
     let entry = fakes::entry(&script);
     let task = tokio::spawn(feeds::follow_backends(Arc::clone(&entry)));
@@ -86,3 +88,17 @@
     assert!(script.answers.lock().unwrap().is_empty());
     assert!(entry.backends.has_usable("dosel-llm", now));
 }
+
+/// A call that was sent into a silent outage is never answered.
+#[tokio::test(start_paused = true)]
+async fn an_open_watch_is_given_up_when_the_store_is_back() {
+    let script = script(Vec::new());
+    let entry = fakes::entry(&script);
+    let task = tokio::spawn(feeds::follow_backends(Arc::clone(&entry)));
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert_eq!(script.asked.lock().unwrap().len(), 1);
+    entry.store_returned.send_modify(|count| *count += 1);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    task.abort();
+    assert_eq!(script.asked.lock().unwrap().len(), 2);
+}
--- a/tests/entry/relay.rs
+++ b/tests/entry/relay.rs
@@ -55,6 +55,7 @@
     entry.catalog.confirm(now);
     entry.backends.replace(vec![listed("i-1", false)], now);
     entry.relay.record_list(5);
+    entry.relay.confirm(now);
     let names: Vec<String> = (0..40).map(|at| format!("peer-{at}")).collect();
     for name in &names {
         entry.beats.merge(status(name), now);
@@ -162,3 +163,16 @@
     entry.relay.record_changes(9, &[("i-1".into(), None)]);
     assert_eq!(answer(5).unwrap().changes.len(), 1);
 }
+
+/// A watch of before an outage can stay silent though the store is back.
+#[tokio::test(start_paused = true)]
+async fn a_relay_whose_watch_of_servers_is_silent_tells_nothing() {
+    let entry = follower();
+    let ask = relay::Ask {
+        nonce: 1,
+        revision: 5,
+    };
+    assert!(relay::answer(&entry, &ask).is_some());
+    tokio::time::advance(Duration::from_secs(4)).await;
+    assert!(relay::answer(&entry, &ask).is_none());
+}
