Provide for the loss of two failure domains; let one feed find the store again

Servers on demand that were there went before the reclaimable ones that replace them had started.

Change: reclaimable servers for 0.8 of the load when two domains are lost; those on demand stay until their replacements serve, and those that are there count before new ones are ordered; only the feed of the declaration tries again in short steps and wakes the others. Tests: decisions orders (found the early removal: an order too many).

--- a/src/core/fleet/orders.rs
+++ b/src/core/fleet/orders.rs
@@ -86,9 +86,16 @@
     pub is_learned: bool,
 }
 
-/// Part of the servers that are there that is kept until the load is known.
+/// Part of the load that is carried while two failure domains are lost.
+const TWO_LOST_PART: f64 = 0.8;
+
+/// Part of the servers on demand that are there that is provided for until the
+/// load is known.
 const UNLEARNED_PART: f64 = 0.6;
 
+/// The same part of reclaimable servers.
+const SPARE_PART: f64 = 0.4;
+
 /// Time after a refused order until reclaimable servers are asked for again.
 const REFUSED_REST: Duration = Duration::from_secs(4);
 
@@ -112,13 +119,6 @@
     pub noticed: u32,
 }
 
-impl Stock {
-    /// Returns the servers that serve.
-    fn count(&self) -> u32 {
-        self.reclaimable + self.on_demand
-    }
-}
-
 /// An order for a number of servers of one class in one failure domain.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Order {
@@ -188,73 +188,58 @@
 
     /// Returns the orders to send now.
     pub fn orders(&mut self, scale: &Scale, stocks: &[Stock], need: Need, now: Time) -> Vec<Order> {
-        let mut orders = Vec::new();
-        let there: u32 = stocks.iter().map(Stock::count).sum();
-        let needed = if need.is_learned {
-            need.servers
-        } else {
-            // Those that are there were enough for whoever ordered them.
-            let kept = (f64::from(there) * UNLEARNED_PART).ceil() as u32;
-            need.servers.max(kept)
-        };
+        let needed = provided(need, stocks);
         let has_reclaimable = scale.reclaimable_price.is_some();
-        let spread = stocks.len().saturating_sub(1).max(1) as u32;
         let target = if has_reclaimable {
-            needed.div_ceil(spread)
+            reclaimable_target(needed, stocks.len())
         } else {
             needed.div_ceil(stocks.len().max(1) as u32)
         };
         let target = target.clamp(scale.min.max(1), scale.max);
-        for stock in stocks.iter().filter(|stock| stock.noticed > 0) {
-            let row = self.row(&stock.domain);
-            row.dry_until = row.dry_until.max(now + REFUSED_REST);
-            row.reclaimable.count = None;
-        }
-        let carried: u32 = stocks.iter().map(|stock| stock.reclaimable).sum();
-        let mut shortage = needed.saturating_sub(carried);
-        let mut by_price: Vec<&Stock> = stocks.iter().collect();
-        by_price.sort_by(|a, b| price(scale, &a.domain).total_cmp(&price(scale, &b.domain)));
-        for stock in by_price {
-            let is_dry = self.row(&stock.domain).dry_until > now;
-            let mut reclaimable = if has_reclaimable { target } else { 0 };
-            let room = scale.max.saturating_sub(stock.reclaimable);
-            let mut on_demand = if has_reclaimable {
-                shortage.min(room).min(target)
-            } else {
-                target
-            };
-            if is_dry {
-                reclaimable = stock.reclaimable;
-            }
+        let on_demand = if has_reclaimable {
+            on_demand_counts(scale, stocks, needed)
+        } else {
+            vec![target; stocks.len()]
+        };
+        let mut orders = Vec::new();
+        for (stock, wanted) in stocks.iter().zip(on_demand) {
+            let wanted = wanted.max(scale.min.saturating_sub(stock.reclaimable));
             // The bounds hold for both classes together.
-            if on_demand + stock.reclaimable < scale.min {
-                on_demand = scale.min - stock.reclaimable;
-            }
-            shortage = shortage.saturating_sub(on_demand);
-            reclaimable = reclaimable.min(scale.max.saturating_sub(stock.on_demand.max(on_demand)));
-            let on_demand = self.keep_surplus(stock, on_demand, now);
-            if !is_dry && has_reclaimable {
-                self.push(
-                    &mut orders,
-                    scale,
-                    stock,
-                    Class::Reclaimable,
-                    reclaimable,
-                    now,
-                );
+            let taken = stock.on_demand.max(wanted);
+            if has_reclaimable && !self.is_dry(stock, now) {
+                let count = target.min(scale.max.saturating_sub(taken));
+                self.push(&mut orders, scale, stock, Class::Reclaimable, count, now);
             }
-            self.push(&mut orders, scale, stock, Class::OnDemand, on_demand, now);
+            let count = self.keep_surplus(scale, stock, wanted, now);
+            self.push(&mut orders, scale, stock, Class::OnDemand, count, now);
         }
         orders
     }
 
+    /// Returns whether no reclaimable servers are to be had in a domain.
+    fn is_dry(&mut self, stock: &Stock, now: Time) -> bool {
+        let row = self.row(&stock.domain);
+        if stock.noticed > 0 {
+            row.dry_until = row.dry_until.max(now + REFUSED_REST);
+            row.reclaimable.count = None;
+        }
+        row.dry_until > now
+    }
+
     /// Returns the servers on demand to order, which fall only after a while.
-    fn keep_surplus(&mut self, stock: &Stock, wanted: u32, now: Time) -> u32 {
+    fn keep_surplus(&mut self, scale: &Scale, stock: &Stock, wanted: u32, now: Time) -> u32 {
         let row = self.row(&stock.domain);
         if wanted >= stock.on_demand {
             row.surplus_since = None;
             return wanted;
         }
+        let asked = row.reclaimable;
+        let is_pending = now.since(asked.at) < scale.boot + REPEAT_SLACK;
+        if is_pending && asked.count.is_some_and(|count| count > stock.reclaimable) {
+            // Those that are to replace them have not started yet.
+            row.surplus_since = None;
+            return stock.on_demand;
+        }
         let since = *row.surplus_since.get_or_insert(now);
         if now.since(since) >= SHRINK_AFTER {
             wanted
@@ -306,6 +291,52 @@
     }
 }
 
+/// Returns the reclaimable servers to have in each of `domains`.
+///
+/// When one domain is lost, the others carry the load. When two are, those left
+/// carry most of it until servers on demand have started.
+fn reclaimable_target(needed: u32, domains: usize) -> u32 {
+    let without = |lost: usize| domains.saturating_sub(lost).max(1) as u32;
+    let most = (f64::from(needed) * TWO_LOST_PART).ceil() as u32;
+    needed.div_ceil(without(1)).max(most.div_ceil(without(2)))
+}
+
+/// Returns the servers to provide for.
+fn provided(need: Need, stocks: &[Stock]) -> u32 {
+    if need.is_learned {
+        return need.servers;
+    }
+    // Those that are there were enough for whoever ordered them. Reclaimable
+    // ones are more than needed, since some of them may be lost.
+    let on_demand: u32 = stocks.iter().map(|stock| stock.on_demand).sum();
+    let reclaimable: u32 = stocks.iter().map(|stock| stock.reclaimable).sum();
+    let kept = (f64::from(on_demand) * UNLEARNED_PART).max(f64::from(reclaimable) * SPARE_PART);
+    need.servers.max(kept.ceil() as u32)
+}
+
+/// Returns the servers on demand to have in each domain, in the order of
+/// `stocks`, so that they and the reclaimable ones carry the load.
+///
+/// Those that are there stay before new ones are ordered where they are cheapest.
+fn on_demand_counts(scale: &Scale, stocks: &[Stock], needed: u32) -> Vec<u32> {
+    let carried: u32 = stocks.iter().map(|stock| stock.reclaimable).sum();
+    let mut shortage = needed.saturating_sub(carried);
+    let mut by_price: Vec<usize> = (0..stocks.len()).collect();
+    let price_at = |at: &usize| price(scale, &stocks[*at].domain);
+    by_price.sort_by(|a, b| price_at(a).total_cmp(&price_at(b)));
+    let mut counts = vec![0; stocks.len()];
+    let room = |at: usize| scale.max.saturating_sub(stocks[at].reclaimable);
+    let limits: [&dyn Fn(usize) -> u32; 2] = [&|at| stocks[at].on_demand.min(room(at)), &room];
+    for limit in limits {
+        for &at in &by_price {
+            let more = limit(at).saturating_sub(counts[at]).min(shortage);
+            counts[at] += more;
+            shortage -= more;
+        }
+    }
+    counts
+}
+
 /// Returns the price of a server-second on demand in a failure domain.
 fn price(scale: &Scale, domain: &str) -> f64 {
     scale.domain_prices.get(domain).copied().unwrap_or(1.0)
--- a/src/entry/feeds.rs
+++ b/src/entry/feeds.rs
@@ -44,8 +44,8 @@
 /// start are heard before their registrations are read.
 const NODES_GATHER: Duration = Duration::from_secs(3);
 
-/// Outage after which the other feeds do not trust their open calls either.
-const OUTAGE: Duration = Duration::from_millis(1_000);
+/// Longest wait of a feed that is woken when the store is back.
+const LONG_BACKOFF: Duration = Duration::from_secs(2);
 
 /// First wait after a failed call to the store.
 const BACKOFF: Duration = Duration::from_millis(100);
@@ -108,6 +108,8 @@
     revision: Option<u64>,
     backoff: Duration,
     lost: Option<Time>,
+    /// Whether this feed finds out for the others when the store is back.
+    is_first: bool,
 }
 
 /// Follows one kind of objects until the entry stops.
@@ -117,6 +119,7 @@
         revision: None,
         backoff: BACKOFF,
         lost: None,
+        is_first: feed.kind() == Kind::Catalog,
     };
     loop {
         match feed.told(&entry).await {
@@ -129,8 +132,7 @@
             Err(e) => {
                 link.record_failure(&entry, &e);
                 feed.fail(&entry);
-                let wait = link.backoff / 2 + entry.jitter(link.backoff / 2);
-                tokio::time::sleep(wait).await;
+                link.rest(&entry).await;
             }
         }
     }
@@ -187,6 +189,22 @@
         }
     }
 
+    /// Waits before the next call after a failed one.
+    ///
+    /// Refused calls are paid too, so one feed finds out when the store is back,
+    /// and wakes the others.
+    async fn rest(&self, entry: &Entry) {
+        if self.is_first {
+            let wait = self.backoff / 2 + entry.jitter(self.backoff / 2);
+            tokio::time::sleep(wait).await;
+            return;
+        }
+        let mut returned = entry.store_returned.subscribe();
+        let wait = LONG_BACKOFF / 2 + entry.jitter(LONG_BACKOFF / 2);
+        // Either end of the wait leads to the same call.
+        let _ = tokio::time::timeout(wait, returned.changed()).await;
+    }
+
     fn record_failure(&mut self, entry: &Entry, e: &StoreError) {
         let label = self.name;
         metrics::counter!("cassialock_store_failures_total", "call" => label).increment(1);
@@ -206,7 +224,7 @@
         self.backoff = BACKOFF;
         if let Some(lost) = self.lost.take() {
             let span = entry.clock.now().since(lost);
-            if span >= OUTAGE {
+            if self.is_first {
                 entry.store_returned.send_modify(|count| *count += 1);
             }
             entry.events.write(
