Call the store at once when another feed has found it; test whole requests

Change: a call that is given up counts as neither an answer nor a failure, and the next one goes out at once and does not wait. Tests: entry path, with whole requests through an entry, their log lines, a body that is too long and one with two lengths.

--- a/src/entry/beats.rs
+++ b/src/entry/beats.rs
@@ -52,7 +52,7 @@
 /// What one entry sends to another.
 #[derive(Deserialize, Serialize)]
 enum Datagram {
-    Beat(Beat),
+    Beat(Box<Beat>),
     Ask(relay::Ask),
     Told(relay::Told),
 }
@@ -380,7 +380,7 @@
         }
         targets.truncate(FAN_OUT);
     }
-    let datagram = match frame::encode(&Datagram::Beat(Beat { own, others })) {
+    let datagram = match frame::encode(&Datagram::Beat(Box::new(Beat { own, others }))) {
         Ok(datagram) => datagram,
         Err(e) => return note_unsendable(entry, &format!("{e:?}")),
     };
@@ -393,7 +393,7 @@
 /// Takes over a datagram and returns the answer to it, if there is one.
 fn receive(entry: &Entry, datagram: &[u8], from: SocketAddr) -> Option<Datagram> {
     match frame::decode(datagram) {
-        Ok(Datagram::Beat(beat)) => take_beat(entry, beat),
+        Ok(Datagram::Beat(beat)) => take_beat(entry, *beat),
         Ok(Datagram::Ask(ask)) => return relay::answer(entry, &ask).map(Datagram::Told),
         Ok(Datagram::Told(told)) => relay::take(entry, told),
         Err(e) => {
--- a/src/entry/feeds.rs
+++ b/src/entry/feeds.rs
@@ -110,6 +110,16 @@
     lost: Option<Time>,
     /// Whether this feed finds out for the others when the store is back.
     is_first: bool,
+    /// Whether another feed has found that the store is back.
+    is_woken: bool,
+}
+
+/// What became of one call to the store.
+enum Step {
+    /// The store answered.
+    Answered,
+    /// The call was given up, because the store was away meanwhile.
+    Abandoned,
 }
 
 /// Follows one kind of objects until the entry stops.
@@ -120,6 +130,7 @@
         backoff: BACKOFF,
         lost: None,
         is_first: feed.kind() == Kind::Catalog,
+        is_woken: false,
     };
     loop {
         match feed.told(&entry).await {
@@ -128,7 +139,8 @@
             None => {}
         }
         match link.step(&entry, &mut *feed).await {
-            Ok(()) => link.record_answer(&entry),
+            Ok(Step::Answered) => link.record_answer(&entry),
+            Ok(Step::Abandoned) => link.is_woken = true,
             Err(e) => {
                 link.record_failure(&entry, &e);
                 feed.fail(&entry);
@@ -139,7 +151,7 @@
 }
 
 impl Link {
-    async fn step(&mut self, entry: &Entry, feed: &mut dyn Feed) -> Result<(), StoreError> {
+    async fn step(&mut self, entry: &Entry, feed: &mut dyn Feed) -> Result<Step, StoreError> {
         let sent = entry.clock.now();
         let Some(revision) = self.revision else {
             let listing = entry.outside.store.list(feed.kind()).await?;
@@ -147,20 +159,20 @@
             feed.replace(entry, revision, objects).await?;
             feed.confirm(entry, sent);
             self.revision = Some(revision);
-            return Ok(());
+            return Ok(Step::Answered);
         };
-        let wait = match self.lost {
-            Some(_) => PROBE_WAIT,
-            None => feed.wait(entry),
+        let is_woken = std::mem::take(&mut self.is_woken);
+        let wait = if self.lost.is_some() || is_woken {
+            PROBE_WAIT
+        } else {
+            feed.wait(entry)
         };
         let mut returned = entry.store_returned.subscribe();
         let watching = entry.outside.store.watch(feed.kind(), revision, wait);
         let watched = tokio::select! {
             watched = watching => watched,
             // A call of before the outage may never be answered.
-            _ = returned.changed() => {
-                Err(StoreError::Lost("the store has been away".into()))
-            }
+            _ = returned.changed() => return Ok(Step::Abandoned),
         };
         match watched {
             Ok(Watched::Changes(revision, changes)) => {
@@ -177,13 +189,13 @@
                 if !is_empty {
                     tokio::time::sleep(feed.rest()).await;
                 }
-                Ok(())
+                Ok(Step::Answered)
             }
             Ok(Watched::HistoryGone) => {
                 let line = Line::new("store_history_gone").with("feed", self.name);
                 entry.events.write(line.with("revision", revision));
                 self.revision = None;
-                Ok(())
+                Ok(Step::Answered)
             }
             Err(e) => Err(e),
         }
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -2,4 +2,5 @@
 
 mod fakes;
 mod feeds;
+mod path;
 mod relay;
--- /dev/null
+++ b/tests/entry/path.rs
@@ -0,0 +1,329 @@
+//! Requests through an entry to backend servers, and the lines that explain
+//! what became of them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use cassialock::clock::Clock;
+use cassialock::core::catalog::Catalog;
+use cassialock::core::catalog::Kind;
+use cassialock::core::catalog::Route;
+use cassialock::core::catalog::Workspace;
+use cassialock::entry;
+use cassialock::entry::Entry;
+use cassialock::entry::outside::Content;
+use cassialock::entry::outside::Listing;
+use cassialock::entry::outside::Object;
+use cassialock::entry::outside::Outside;
+use cassialock::platform::dialect::Headers;
+use cassialock::telemetry::events::Events;
+use cassialock::web;
+use crossbeam::channel;
+use http::Response;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+use crate::fakes;
+use crate::fakes::FakeCloud;
+use crate::fakes::FakeStore;
+use crate::fakes::Script;
+
+/// Longest wait for anything that must happen.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+struct World {
+    front: SocketAddr,
+    lines: channel::Receiver<String>,
+    runs: Arc<AtomicUsize>,
+    _stop: watch::Sender<bool>,
+}
+
+/// What the backend server does with a path.
+fn respond(path: &str, id: &str) -> Response<web::Body> {
+    let response = |status: u16, stamp: Option<&str>, id: &str| {
+        let mut response = web::text(status.try_into().unwrap(), "answer");
+        let headers = response.headers_mut();
+        headers.insert("x-cassialock-request-id", id.parse().unwrap());
+        if let Some(stamp) = stamp {
+            headers.insert("x-cassialock-response-stamp", stamp.parse().unwrap());
+        }
+        response
+    };
+    match path.rsplit('/').next().unwrap() {
+        "cut" => web::abort(),
+        "crossed" => response(200, Some("s"), "another"),
+        "failed" => response(500, Some("s"), id),
+        "unsigned" => response(200, None, id),
+        "busy" => {
+            let mut response = response(503, None, id);
+            let headers = response.headers_mut();
+            headers.insert("x-cassialock-not-executed", "1".parse().unwrap());
+            response
+        }
+        _ => response(200, Some("s"), id),
+    }
+}
+
+async fn backend(runs: Arc<AtomicUsize>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (_keep, stopped) = watch::channel(false);
+        let handler = move |request: http::Request<hyper::body::Incoming>, _| {
+            runs.fetch_add(1, Ordering::Relaxed);
+            let id = request.headers()["x-cassialock-request-id"].clone();
+            let answer = respond(request.uri().path(), id.to_str().unwrap());
+            async move { answer }
+        };
+        web::serve(listener, handler, stopped).await;
+    });
+    address
+}
+
+fn route(prefix: &str, kind: Kind) -> Route {
+    Route {
+        name: prefix.into(),
+        host: "shop".into(),
+        prefix: prefix.into(),
+        kind,
+        timeout: Duration::from_secs(2),
+        target: Duration::from_millis(300),
+        pause: None,
+        priority: 0,
+        split: vec![("dosel-llm".into(), 1)],
+        attempts: 2,
+        is_public: false,
+    }
+}
+
+fn catalog() -> Catalog {
+    Catalog::new(1)
+        .with_routes(vec![
+            route("/read/", Kind::Idempotent),
+            route("/order/", Kind::Once),
+        ])
+        .with_workspaces(vec![Workspace {
+            name: "familias".into(),
+            keys: vec!["k-1".into()],
+            ..Workspace::default()
+        }])
+}
+
+async fn free_port() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    listener.local_addr().unwrap()
+}
+
+impl World {
+    /// Starts an entry before one backend server, or before none that listens.
+    async fn start(has_backend: bool) -> Self {
+        let runs = Arc::new(AtomicUsize::new(0));
+        let address = if has_backend {
+            backend(Arc::clone(&runs)).await
+        } else {
+            free_port().await
+        };
+        let mut object = fakes::backend("i-1", 1);
+        if let Content::Backend(listed) = &mut object.content {
+            listed.address = address;
+        }
+        let script = Arc::new(Script::default());
+        *script.listing.lock().unwrap() = Listing {
+            revision: 1,
+            objects: vec![
+                object,
+                Object {
+                    name: "main".into(),
+                    revision: 1,
+                    created: 1,
+                    content: Content::Catalog(Box::new(catalog())),
+                },
+            ],
+        };
+        let mut settings = fakes::settings();
+        let front = free_port().await;
+        settings.front = Some(front);
+        // Nothing confirms the declaration here after the first list.
+        settings.bounds.revoke = Duration::from_secs(60);
+        let clock = Clock::new();
+        let (sender, lines) = channel::unbounded();
+        let events = Events::with_sender("entry-1".into(), clock, Some(sender));
+        let outside = Outside {
+            dialect: Box::new(Headers::new()),
+            store: Box::new(FakeStore(script)),
+            cloud: Box::new(FakeCloud),
+        };
+        let entry = Arc::new(Entry::new(settings, outside, events, clock));
+        let (stop, stopped) = watch::channel(false);
+        tokio::spawn(entry::run(Arc::clone(&entry), stopped));
+        let began = Instant::now();
+        while !entry.backends.has_usable("dosel-llm", entry.clock.now())
+            || entry.catalog.version() == 0
+            || TcpStream::connect(front).await.is_err()
+        {
+            assert!(began.elapsed() < PATIENCE, "the entry does not start");
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        Self {
+            front,
+            lines,
+            runs,
+            _stop: stop,
+        }
+    }
+
+    /// Sends raw bytes and returns what comes until the connection ends.
+    async fn send(&self, bytes: &str) -> String {
+        let mut stream = TcpStream::connect(self.front).await.unwrap();
+        stream.write_all(bytes.as_bytes()).await.unwrap();
+        let mut answer = Vec::new();
+        let reading = stream.read_to_end(&mut answer);
+        // A reset after an answer leaves the answer.
+        let _ = tokio::time::timeout(PATIENCE, reading).await.unwrap();
+        String::from_utf8_lossy(&answer).into_owned()
+    }
+
+    /// Sends a request and returns its status.
+    async fn ask(&self, method: &str, path: &str, id: &str, key: &str) -> u16 {
+        let head = format!(
+            "{method} {path} HTTP/1.1\r\nhost: shop\r\nx-cassialock-request-id: {id}\r\n\
+             authorization: Token {key}\r\nx-cassialock-deadline-ms: 2000\r\n\
+             content-length: 0\r\nconnection: close\r\n\r\n"
+        );
+        status(&self.send(&head).await)
+    }
+
+    /// Returns the lines that name a request, as an engineer would look for them.
+    fn lines_of(&self, id: &str) -> Vec<serde_json::Value> {
+        std::thread::sleep(Duration::from_millis(50));
+        self.lines
+            .try_iter()
+            .map(|line| serde_json::from_str::<serde_json::Value>(&line).unwrap())
+            .filter(|line| line["request"] == id)
+            .collect()
+    }
+
+    fn runs(&self) -> usize {
+        self.runs.load(Ordering::Relaxed)
+    }
+}
+
+fn status(answer: &str) -> u16 {
+    let status = answer.split(' ').nth(1).unwrap_or_default();
+    status.parse().unwrap_or_default()
+}
+
+#[tokio::test]
+async fn an_answer_reaches_its_caller() {
+    let world = World::start(true).await;
+    assert_eq!(world.ask("GET", "/read/x", "q-1", "k-1").await, 200);
+    let lines = world.lines_of("q-1");
+    assert_eq!(lines.last().unwrap()["event"], "answered");
+}
+
+#[tokio::test]
+async fn what_may_have_run_is_sent_again_only_if_it_can_be_repeated() {
+    let world = World::start(true).await;
+    assert_eq!(world.ask("POST", "/order/cut", "q-1", "k-1").await, 502);
+    assert_eq!(world.runs(), 1);
+    assert_eq!(world.ask("GET", "/read/cut", "q-2", "k-1").await, 502);
+    assert_eq!(world.runs(), 3);
+    assert_eq!(world.ask("POST", "/order/crossed", "q-3", "k-1").await, 502);
+    assert_eq!(
+        world.ask("POST", "/order/unsigned", "q-4", "k-1").await,
+        502
+    );
+    assert_eq!(world.runs(), 5);
+}
+
+#[tokio::test]
+async fn a_failure_that_a_server_answered_is_passed_on() {
+    let world = World::start(true).await;
+    assert_eq!(world.ask("POST", "/order/failed", "q-1", "k-1").await, 500);
+    assert_eq!(world.runs(), 1);
+}
+
+#[tokio::test]
+async fn a_server_that_did_not_run_a_request_lets_the_entry_promise_it() {
+    let world = World::start(true).await;
+    assert_eq!(world.ask("POST", "/order/busy", "q-1", "k-1").await, 503);
+}
+
+/// OPERATIONS.md, "No server could be reached".
+#[tokio::test]
+async fn the_lines_of_a_request_that_reached_no_server_name_the_server() {
+    let world = World::start(false).await;
+    assert_eq!(world.ask("POST", "/order/x", "q-1", "k-1").await, 503);
+    let lines = world.lines_of("q-1");
+    let attempt = &lines[0];
+    assert_eq!(attempt["event"], "attempt_failed");
+    assert_eq!(attempt["cause"], "connect");
+    assert_eq!(attempt["backend"], "i-1/1");
+    let refused = lines.last().unwrap();
+    assert_eq!(refused["event"], "refused");
+    assert_eq!(refused["verdict"], "not_run");
+}
+
+/// OPERATIONS.md, "The answer is lost".
+#[tokio::test]
+async fn the_lines_of_a_lost_answer_say_that_the_request_may_have_run() {
+    let world = World::start(true).await;
+    assert_eq!(world.ask("POST", "/order/cut", "q-1", "k-1").await, 502);
+    let lines = world.lines_of("q-1");
+    assert_eq!(lines[0]["cause"], "cut");
+    assert_eq!(lines[0]["decision"], "NotRepeatable");
+    assert_eq!(lines.last().unwrap()["verdict"], "may_have_run");
+}
+
+/// OPERATIONS.md, "The key is refused".
+#[tokio::test]
+async fn the_line_of_a_refused_key_names_the_declaration() {
+    let world = World::start(true).await;
+    assert_eq!(world.ask("GET", "/read/x", "q-1", "k-2").await, 401);
+    let lines = world.lines_of("q-1");
+    assert_eq!(lines[0]["reason"], "unknown_key");
+    assert_eq!(lines[0]["catalog_version"], 1);
+    assert!(lines[0]["catalog_age_ms"].is_number());
+    assert_eq!(world.runs(), 0);
+}
+
+#[tokio::test]
+async fn a_body_that_is_too_long_is_refused_before_it_arrives() {
+    let world = World::start(true).await;
+    let began = Instant::now();
+    let answer = world
+        .send(
+            "POST /order/x HTTP/1.1\r\nhost: shop\r\nx-cassialock-request-id: q-1\r\n\
+             authorization: Token k-1\r\ncontent-length: 99999999999\r\nconnection: close\r\n\r\n",
+        )
+        .await;
+    assert_eq!(status(&answer), 413);
+    assert!(began.elapsed() < Duration::from_secs(2));
+}
+
+/// What looks like another request within the body of one must not be run.
+#[tokio::test]
+async fn a_request_with_two_lengths_smuggles_nothing() {
+    let world = World::start(true).await;
+    let inner = "POST /order/smuggled HTTP/1.1\r\nhost: shop\r\n\
+                 x-cassialock-request-id: q-2\r\nauthorization: Token k-1\r\n\
+                 content-length: 0\r\n\r\n";
+    let body = format!("0\r\n\r\n{inner}");
+    let answer = world
+        .send(&format!(
+            "POST /order/x HTTP/1.1\r\nhost: shop\r\nx-cassialock-request-id: q-1\r\n\
+             authorization: Token k-1\r\ncontent-length: {}\r\n\
+             transfer-encoding: chunked\r\n\r\n{body}",
+            body.len()
+        ))
+        .await;
+    assert_eq!(answer.matches("HTTP/1.1").count(), 1, "{answer}");
+    assert!(world.runs() <= 1);
+}
