--- a/src/entry/backends.rs
+++ b/src/entry/backends.rs
@@ -196,21 +196,6 @@
         None
     }
 
-    /// Returns the requests that a service runs per server and the free part of
-    /// its slots, as estimated now.
-    pub fn load(&self, service: &str, now: Time) -> Load {
-        let state = self.state.lock().unwrap();
-        let inflight: f64 = state
-            .servers
-            .subset(service, None)
-            .map(|server| server.inflight(now))
-            .sum();
-        Load {
-            running: inflight as u32,
-            waiting: 0,
-        }
-    }
-
     /// Returns whether a service has a server that may take work.
     pub fn has_usable(&self, service: &str, now: Time) -> bool {
         self.state.lock().unwrap().servers.has_usable(service, now)
--- /dev/null
+++ b/src/entry/feeds/backends.rs
@@ -0,0 +1,121 @@
+//! The backend servers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::future::BoxFuture;
+
+use crate::core::peer::Phase;
+use crate::core::time::Time;
+use crate::entry::Entry;
+use crate::entry::feeds;
+use crate::entry::feeds::Feed;
+use crate::entry::feeds::Resume;
+use crate::entry::outside::Change;
+use crate::entry::outside::Content;
+use crate::entry::outside::Kind;
+use crate::entry::outside::Object;
+use crate::entry::outside::StoreError;
+
+/// Time for which a watch of backend servers waits.
+const BACKENDS_WAIT: Duration = Duration::from_secs(2);
+
+/// Time for which changes of backend servers are gathered before they are asked
+/// for, since many come together and each answer of the store is paid.
+const GATHER: Duration = Duration::from_millis(200);
+
+struct BackendsFeed;
+
+impl Feed for BackendsFeed {
+    fn kind(&self) -> Kind {
+        Kind::Backends
+    }
+
+    fn told<'a>(&'a mut self, entry: &'a Entry) -> BoxFuture<'a, Option<Resume>> {
+        Box::pin(async {
+            if !entry.relay.is_told(entry.clock.now()) {
+                return None;
+            }
+            entry.relay.wait_untold(entry).await;
+            Some(Resume::From(entry.relay.revision()))
+        })
+    }
+
+    fn wait(&self, _entry: &Entry) -> Duration {
+        BACKENDS_WAIT
+    }
+
+    fn rest(&self) -> Duration {
+        GATHER
+    }
+
+    fn replace<'a>(
+        &'a mut self,
+        entry: &'a Entry,
+        revision: u64,
+        objects: Vec<Object>,
+    ) -> BoxFuture<'a, Result<(), StoreError>> {
+        let mut list = Vec::with_capacity(objects.len());
+        for object in objects {
+            match object.content {
+                Content::Backend(listed) => list.push(listed),
+                Content::Unreadable(reason) => {
+                    feeds::note_unreadable(entry, Kind::Backends, &object.name, &reason);
+                }
+                Content::Catalog(_) | Content::Move(_) | Content::Record(_) => {}
+            }
+        }
+        entry.relay.record_list(revision);
+        let lines = entry.backends.replace(list, entry.clock.now());
+        lines.into_iter().for_each(|line| entry.events.write(line));
+        Box::pin(std::future::ready(Ok(())))
+    }
+
+    fn change<'a>(
+        &'a mut self,
+        entry: &'a Entry,
+        revision: u64,
+        changes: Vec<Change>,
+    ) -> BoxFuture<'a, Result<(), StoreError>> {
+        let mut list = Vec::with_capacity(changes.len());
+        for change in changes {
+            let name = change.object.name;
+            match change.object.content {
+                Content::Backend(listed) if !change.is_removed => {
+                    list.push((name, Some(listed)));
+                }
+                Content::Unreadable(reason) if !change.is_removed => {
+                    feeds::note_unreadable(entry, Kind::Backends, &name, &reason);
+                    list.push((name, None));
+                }
+                _ => list.push((name, None)),
+            }
+        }
+        if revision <= entry.relay.revision() && !list.is_empty() {
+            // Another entry has told these changes before.
+            return Box::pin(std::future::ready(Ok(())));
+        }
+        entry.relay.record_changes(revision, &list);
+        let lines = entry.backends.change(list, entry.clock.now());
+        lines.into_iter().for_each(|line| entry.events.write(line));
+        Box::pin(std::future::ready(Ok(())))
+    }
+
+    fn confirm(&mut self, entry: &Entry, time: Time) {
+        entry.relay.confirm(time);
+    }
+
+    fn fail(&mut self, entry: &Entry) {
+        let now = entry.clock.now();
+        let mut others = entry.beats.live(now).into_iter();
+        let serves_others = others.any(|status| status.phase == Phase::Ready);
+        let unheard = entry.catalog.age(now).unwrap_or_default();
+        let since = Time(now.0.saturating_sub(unheard.as_micros() as u64));
+        entry.backends.record_outage(serves_others, since, now);
+    }
+}
+
+/// Follows the backend servers.
+pub async fn follow(entry: Arc<Entry>) {
+    feeds::follow(entry, Box::new(BackendsFeed), "backends").await;
+}
--- /dev/null
+++ b/src/entry/feeds/moves.rs
@@ -0,0 +1,96 @@
+//! The version moves.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::future::BoxFuture;
+
+use crate::core::Name;
+use crate::entry::Entry;
+use crate::entry::feeds;
+use crate::entry::feeds::Feed;
+use crate::entry::outside::Change;
+use crate::entry::outside::Content;
+use crate::entry::outside::Kind;
+use crate::entry::outside::Object;
+use crate::entry::outside::StoreError;
+
+struct MovesFeed {
+    known: Vec<Name>,
+}
+
+impl MovesFeed {
+    fn take(&mut self, entry: &Entry, object: Object) {
+        let now = entry.clock.now();
+        match object.content {
+            Content::Move(declared) => {
+                let service = declared.service.clone();
+                if !self.known.contains(&service) {
+                    self.known.push(service.clone());
+                }
+                let line = entry.moves.set(&service, Some(declared), now);
+                line.into_iter().for_each(|line| entry.events.write(line));
+            }
+            Content::Unreadable(reason) => {
+                feeds::note_unreadable(entry, Kind::Moves, &object.name, &reason);
+            }
+            Content::Catalog(_) | Content::Backend(_) | Content::Record(_) => {}
+        }
+    }
+
+    fn withdraw(&mut self, entry: &Entry, service: &Name) {
+        self.known.retain(|known| known != service);
+        let line = entry.moves.set(service, None, entry.clock.now());
+        line.into_iter().for_each(|line| entry.events.write(line));
+    }
+}
+
+impl Feed for MovesFeed {
+    fn kind(&self) -> Kind {
+        Kind::Moves
+    }
+
+    fn wait(&self, _entry: &Entry) -> Duration {
+        feeds::SELDOM_WAIT
+    }
+
+    fn replace<'a>(
+        &'a mut self,
+        entry: &'a Entry,
+        _revision: u64,
+        objects: Vec<Object>,
+    ) -> BoxFuture<'a, Result<(), StoreError>> {
+        let names: Vec<Name> = objects.iter().map(|object| object.name.clone()).collect();
+        for service in self.known.clone() {
+            if !names.contains(&service) {
+                self.withdraw(entry, &service);
+            }
+        }
+        for object in objects {
+            self.take(entry, object);
+        }
+        Box::pin(std::future::ready(Ok(())))
+    }
+
+    fn change<'a>(
+        &'a mut self,
+        entry: &'a Entry,
+        _revision: u64,
+        changes: Vec<Change>,
+    ) -> BoxFuture<'a, Result<(), StoreError>> {
+        for change in changes {
+            if change.is_removed {
+                self.withdraw(entry, &change.object.name);
+            } else {
+                self.take(entry, change.object);
+            }
+        }
+        Box::pin(std::future::ready(Ok(())))
+    }
+}
+
+/// Follows the version moves.
+pub async fn follow(entry: Arc<Entry>) {
+    let feed = MovesFeed { known: Vec::new() };
+    feeds::follow(entry, Box::new(feed), "moves").await;
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -187,10 +187,10 @@
     let fronts = front::listen(&entry, closed).await?;
     let socket = beats::bind(settings.peer).await?;
     let tasks = [
-        tokio::spawn(feeds::follow_catalog(Arc::clone(&entry))),
-        tokio::spawn(feeds::follow_backends(Arc::clone(&entry))),
-        tokio::spawn(feeds::follow_moves(Arc::clone(&entry))),
-        tokio::spawn(feeds::follow_nodes(Arc::clone(&entry))),
+        tokio::spawn(feeds::catalog::follow(Arc::clone(&entry))),
+        tokio::spawn(feeds::backends::follow(Arc::clone(&entry))),
+        tokio::spawn(feeds::moves::follow(Arc::clone(&entry))),
+        tokio::spawn(feeds::nodes::follow(Arc::clone(&entry))),
         tokio::spawn(beats::run(Arc::clone(&entry), socket)),
         tokio::spawn(duties::run(Arc::clone(&entry))),
         tokio::spawn(tick(Arc::clone(&entry))),
--- a/src/entry/outside.rs
+++ b/src/entry/outside.rs
@@ -46,9 +46,6 @@
     /// Returns the answer to a request that is refused.
     fn refuse(&self, refusal: &Refusal) -> Response<Body>;
 
-    /// Reads which entries a caller asks for; the failure domain it is in.
-    fn read_directory(&self, uri: &http::Uri) -> Option<Name>;
-
     /// Returns the answer to a caller that asks for entries.
     fn directory(&self, entries: &[SocketAddr], keep: Duration) -> Response<Body>;
 
@@ -184,8 +181,6 @@
     pub name: Name,
     /// Revision of its last change.
     pub revision: u64,
-    /// Revision at which it was created.
-    pub created: u64,
     /// The content.
     pub content: Content,
 }
--- a/src/platform/dialect.rs
+++ b/src/platform/dialect.rs
@@ -8,7 +8,6 @@
 use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
-use http::Uri;
 use http::header;
 use http::request;
 use http::response;
@@ -290,10 +289,6 @@
         response
     }
 
-    fn read_directory(&self, uri: &Uri) -> Option<Name> {
-        web::query(uri, "zone").map(Into::into)
-    }
-
     fn directory(&self, entries: &[SocketAddr], keep: Duration) -> Response<Body> {
         let addresses: Vec<String> = entries.iter().map(ToString::to_string).collect();
         let status = if addresses.is_empty() {
--- a/src/platform/objects.rs
+++ b/src/platform/objects.rs
@@ -59,8 +59,6 @@
 struct WireMeta {
     name: String,
     revision: u64,
-    #[serde(default)]
-    create_revision: u64,
 }
 
 /// A page of objects.
@@ -99,7 +97,6 @@
     Some(Object {
         name: wire.metadata.name.into(),
         revision: wire.metadata.revision,
-        created: wire.metadata.create_revision,
         content,
     })
 }
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -1,6 +1,7 @@
 //! Tables of decisions of the core, driven step by step without I/O.
 
 mod call;
+mod canary;
 mod config;
 mod fleet;
 mod lapse;
@@ -16,3 +17,4 @@
 mod relay;
 mod retry;
 mod route;
+mod usage;
--- /dev/null
+++ b/tests/decisions/usage.rs
@@ -0,0 +1,42 @@
+//! Usage by windows, over all nodes.
+
+use std::time::Duration;
+
+use cassialock::core::time::Time;
+use cassialock::core::usage::Meter;
+
+fn meter(seconds: &[u64]) -> Meter {
+    let mut meter = Meter::new(Duration::from_secs(5));
+    for second in seconds {
+        meter.record(&"familias".into(), Time::from_millis(second * 1_000));
+    }
+    meter
+}
+
+#[test]
+fn the_counts_of_all_nodes_are_added_up_when_they_have_settled() {
+    let own = meter(&[100, 101, 106]);
+    let other = meter(&[102, 107]);
+    let due = |reported, second: u64| {
+        let others = other.counts().iter();
+        own.due(reported, others, Time::from_millis(second * 1_000))
+    };
+    assert_eq!(due(None, 108), None);
+    let first = due(None, 109).unwrap();
+    assert_eq!(first.window, 20);
+    assert_eq!(first.requests.get("familias"), Some(&3));
+    let second = due(Some(20), 114).unwrap();
+    assert_eq!(
+        (second.window, second.requests.get("familias")),
+        (21, Some(&2))
+    );
+    assert_eq!(due(Some(21), 200), None);
+}
+
+#[test]
+fn windows_without_requests_are_passed_over() {
+    let own = meter(&[100, 113]);
+    let none = [].iter();
+    let due = own.due(Some(20), none, Time::from_millis(119_000)).unwrap();
+    assert_eq!(due.window, 22);
+}
--- a/tests/entry/fakes.rs
+++ b/tests/entry/fakes.rs
@@ -167,7 +167,6 @@
     Object {
         name: instance.into(),
         revision,
-        created: 1,
         content: Content::Backend(Listed {
             instance: instance.into(),
             born: 1,
--- a/tests/entry/feeds.rs
+++ b/tests/entry/feeds.rs
@@ -49,7 +49,7 @@
     answers.extend([Answer::AfterWait, Answer::AfterWait]);
     let script = script(answers);
     let entry = fakes::entry(&script);
-    let task = tokio::spawn(feeds::follow_backends(Arc::clone(&entry)));
+    let task = tokio::spawn(feeds::backends::follow(Arc::clone(&entry)));
     tokio::time::sleep(Duration::from_secs(30)).await;
     task.abort();
     let asked = script.asked.lock().unwrap();
@@ -68,7 +68,7 @@
     answers.push(removal("i-1"));
     let script = script(answers);
     let entry = fakes::entry(&script);
-    let task = tokio::spawn(feeds::follow_backends(Arc::clone(&entry)));
+    let task = tokio::spawn(feeds::backends::follow(Arc::clone(&entry)));
     tokio::time::sleep(Duration::from_secs(30)).await;
     task.abort();
     let now = entry.clock.now();
@@ -81,7 +81,7 @@
     answers.push(removal("i-1"));
     let script = script(answers);
     let entry = fakes::entry(&script);
-    let task = tokio::spawn(feeds::follow_backends(Arc::clone(&entry)));
+    let task = tokio::spawn(feeds::backends::follow(Arc::clone(&entry)));
     tokio::time::sleep(Duration::from_secs(8)).await;
     task.abort();
     let now = entry.clock.now();
@@ -94,7 +94,7 @@
 async fn an_open_watch_is_given_up_when_the_store_is_back() {
     let script = script(Vec::new());
     let entry = fakes::entry(&script);
-    let task = tokio::spawn(feeds::follow_backends(Arc::clone(&entry)));
+    let task = tokio::spawn(feeds::backends::follow(Arc::clone(&entry)));
     tokio::time::sleep(Duration::from_millis(100)).await;
     assert_eq!(script.asked.lock().unwrap().len(), 1);
     entry.store_returned.send_modify(|count| *count += 1);
--- a/tests/entry/path.rs
+++ b/tests/entry/path.rs
@@ -142,7 +142,6 @@
                 Object {
                     name: "main".into(),
                     revision: 1,
-                    created: 1,
                     content: Content::Catalog(Box::new(catalog())),
                 },
             ],
