Keep a trial of a version within the deployment's exposure

Cause: a new version always got 60 in 1,000 of its service's requests; the part that the deployment allows was decoded and not used, so one that allows less than 6 in 100 would have been overrun. Found by reading. Change: a trial gets six tenths of the allowed part, at most 60 in 1,000 as before. Two decoded bounds that nothing needs are gone. Test: canary::a_trial_stays_within_the_exposure_of_the_deployment, which failed before with 6,053 of 100,000 requests where none were allowed.

--- a/src/core/moves/canary.rs
+++ b/src/core/moves/canary.rs
@@ -11,8 +11,12 @@
 use crate::core::moves::judge::Judge;
 use crate::core::time::Time;
 
-/// Part of the traffic that an untested version gets, in thousandths.
-const TRIAL_PERMILLE: u64 = 60;
+/// Largest part of the traffic that an untested version gets.
+const MAX_TRIAL: f64 = 0.06;
+
+/// Part of the allowed exposure that the trial uses; the rest covers requests
+/// that are on their way when a fault is found.
+const TRIAL_PART: f64 = 0.6;
 
 /// Part of the time span that is left when the end is reported.
 const REPORT_PART: f64 = 0.08;
@@ -133,10 +137,18 @@
 }
 
 /// Returns whether a request goes to the new version, given a random number.
-pub fn is_new(stage: Stage, draw: u64) -> bool {
+///
+/// `exposure` is the part of the service's requests that an untested version
+/// may get at most.
+pub fn is_new(stage: Stage, draw: u64, exposure: f64) -> bool {
     match stage {
-        Stage::Trial => draw % 1_000 < TRIAL_PERMILLE,
+        Stage::Trial => ((draw % 1_000_000) as f64) < trial_part(exposure) * 1e6,
         Stage::Full | Stage::Done => true,
         Stage::TakenBack => false,
     }
 }
+
+/// Returns the part of the traffic that an untested version gets.
+fn trial_part(exposure: f64) -> f64 {
+    (exposure * TRIAL_PART).clamp(0.0, MAX_TRIAL)
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -122,7 +122,7 @@
             relay: Relay::new(),
             usage: Usage::new(settings.bounds.window),
             fleet: Fleet::new(),
-            moves: Moves::new(),
+            moves: Moves::new().with_exposure(settings.bounds.expose_part),
             settings: arc_swap::ArcSwap::from_pointee(settings),
             clock,
             outside,
--- a/src/entry/moves.rs
+++ b/src/entry/moves.rs
@@ -20,6 +20,7 @@
 #[derive(Default)]
 pub struct Moves {
     rows: Mutex<Table<Canary>>,
+    exposure: f64,
 }
 
 /// The version that a request should go to.
@@ -32,11 +33,19 @@
 }
 
 impl Moves {
-    /// Creates a record without moves.
+    /// Creates a record without moves, whose new versions get no traffic
+    /// before they have all of it.
     pub fn new() -> Self {
         Self::default()
     }
 
+    /// Lets an untested version get at most the part `exposure` of the
+    /// requests of its service.
+    pub fn with_exposure(mut self, exposure: f64) -> Self {
+        self.exposure = exposure;
+        self
+    }
+
     /// Takes over a declared move; `None` means that it was withdrawn.
     pub fn set(&self, service: &Name, declared: Option<Declared>, now: Time) -> Option<Line> {
         let mut rows = self.rows.lock().unwrap();
@@ -84,7 +93,7 @@
             return Preference::default();
         };
         let stage = canary.stage(now);
-        if canary::is_new(stage, draw) {
+        if canary::is_new(stage, draw, self.exposure) {
             Preference {
                 version: Some(canary.target.clone()),
                 is_single: stage == Stage::Trial,
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -39,8 +39,6 @@
 pub struct Bounds {
     /// Time from SIGTERM to SIGKILL.
     pub grace: Duration,
-    /// Time in which a new configuration must be in force.
-    pub config: Duration,
     /// Time after which a withdrawn key must not be served.
     pub revoke: Duration,
     /// Whether keys are refused when their validity cannot be confirmed.
@@ -56,8 +54,6 @@
     pub window: Duration,
     /// Part of a service's requests that an untested version may get.
     pub expose_part: f64,
-    /// Requests that an untested version may get beyond that part.
-    pub expose_slack: f64,
     /// Longest time for which an answer to a caller that asks for entries holds.
     pub keep_max: Duration,
 }
@@ -66,7 +62,6 @@
     fn default() -> Self {
         Self {
             grace: Duration::from_secs(8),
-            config: Duration::from_secs(2),
             revoke: Duration::from_secs(5),
             fail_closed: true,
             retry_ratio: 0.2,
@@ -74,7 +69,6 @@
             lease: Duration::from_secs(3),
             window: Duration::from_secs(5),
             expose_part: 0.1,
-            expose_slack: 50.0,
             keep_max: Duration::from_secs(5),
         }
     }
--- a/src/platform/boot.rs
+++ b/src/platform/boot.rs
@@ -67,7 +67,6 @@
 #[derive(Default, Deserialize)]
 struct WireBounds {
     grace_period_s: Option<f64>,
-    config_ms: Option<f64>,
     revoke_ms: Option<f64>,
     fail_closed: Option<bool>,
     retry_budget_ratio: Option<f64>,
@@ -75,7 +74,6 @@
     lease_ms: Option<f64>,
     window_s: Option<f64>,
     expose_share: Option<f64>,
-    expose_slack: Option<f64>,
     ttl_max_s: Option<f64>,
 }
 
@@ -165,7 +163,6 @@
     let ms = 0.001;
     Ok(Bounds {
         grace: span("grace_period_s", wire.grace_period_s, 1.0, default.grace)?,
-        config: span("config_ms", wire.config_ms, ms, default.config)?,
         revoke: span("revoke_ms", wire.revoke_ms, ms, default.revoke)?,
         fail_closed: wire.fail_closed.unwrap_or(default.fail_closed),
         retry_ratio: wire.retry_budget_ratio.unwrap_or(default.retry_ratio),
@@ -173,7 +170,6 @@
         lease: span("lease_ms", wire.lease_ms, ms, default.lease)?,
         window: span("window_s", wire.window_s, 1.0, default.window)?,
         expose_part: wire.expose_share.unwrap_or(default.expose_part),
-        expose_slack: wire.expose_slack.unwrap_or(default.expose_slack),
         keep_max: span("ttl_max_s", wire.ttl_max_s, 1.0, default.keep_max)?,
     })
 }
--- a/tests/decisions/canary.rs
+++ b/tests/decisions/canary.rs
@@ -10,15 +10,22 @@
 
 const WITHIN: Duration = Duration::from_secs(12);
 
+/// Part of the requests that an untested version may get.
+const EXPOSURE: f64 = 0.1;
+
 fn at(ms: u64) -> Time {
     Time::from_millis(ms)
 }
 
+fn draw(count: u64) -> u64 {
+    cassialock::core::hash(&["draw", &count.to_string()])
+}
+
 fn play(failing: bool) -> (Canary, u64) {
     let mut canary = Canary::new("v2".into(), WITHIN, at(0));
     let mut answered = 0;
     for ms in (0..11_000_u64).step_by(10) {
-        let is_new = canary::is_new(canary.stage(at(ms)), ms * 7_919 / 10);
+        let is_new = canary::is_new(canary.stage(at(ms)), draw(ms / 10), EXPOSURE);
         let sample = Sample {
             is_new,
             failed: is_new && failing && ms % 20 == 0,
@@ -54,3 +61,18 @@
     assert_eq!(canary.stage(at(11_500)), Stage::TakenBack);
     assert_eq!(canary.outcome(at(11_500)), None);
 }
+
+#[test]
+fn a_trial_stays_within_the_exposure_of_the_deployment() {
+    for exposure in [0.0, 0.005, 0.02, 0.05, 0.1, 0.5, 1.0] {
+        let new = (0..100_000)
+            .filter(|count| canary::is_new(Stage::Trial, draw(*count), exposure))
+            .count();
+        let bound = exposure * 0.8 * 100_000.0;
+        assert!(
+            new as f64 <= bound,
+            "{new} of 100,000 requests, allowed part {exposure}"
+        );
+        assert!(new > 0 || exposure == 0.0, "a trial without requests");
+    }
+}
