Apply every change that a relay tells

Cause: an entry that no longer believed its relay (its declaration was older than 1.7 s) recorded the changes that the relay told as known, and did not apply them. It then asked the store only for what came after, so a server that reported to leave within them stayed in use until its entry was removed. Links of 10 Mbit/s were full with a large declaration, which makes relays old. Change: what a relay tells is applied whether it is believed further or not. Ruled out: the order of watch answers and told changes (each answer covers all changes after the revision asked from), lapses of the store. Test: relay::no_change_is_lost_when_a_relay_is_not_believed, failed before.

--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -246,6 +246,13 @@
         state.record(news.revision, &news.changes);
     }
     drop(state);
+    // The store will be asked only for what comes after these changes.
+    if let Some(news) = news
+        && (is_told || !news.changes.is_empty())
+    {
+        let lines = entry.backends.change(news.changes, now);
+        lines.into_iter().for_each(|line| entry.events.write(line));
+    }
     if was_told != is_told {
         let line = Line::new("relay_changed").with("is_told", is_told);
         entry.events.write(line.with_ms("relay_age_ms", told.age));
@@ -253,10 +260,6 @@
     if !is_told {
         return;
     }
-    if let Some(news) = news {
-        let lines = entry.backends.change(news.changes, now);
-        lines.into_iter().for_each(|line| entry.events.write(line));
-    }
     // The relay knew it at the time of its answer, which came after the question.
     let known = Time(sent.0.saturating_sub(told.age.as_micros() as u64));
     if told.version == entry.catalog.version() {
--- a/tests/entry/relay.rs
+++ b/tests/entry/relay.rs
@@ -151,6 +151,19 @@
     assert!(!entry.relay.is_told(entry.clock.now()));
 }
 
+/// What such a relay tells is true all the same, and the store is asked only for
+/// what came after it.
+#[tokio::test(start_paused = true)]
+async fn no_change_is_lost_when_a_relay_is_not_believed() {
+    let entry = follower();
+    let (_, ask) = relay::ask(&entry).unwrap();
+    let mut old = told(&ask, 5, true);
+    old.age = Duration::from_secs(2);
+    relay::take(&entry, old);
+    let is_known = !entry.backends.has_usable("dosel-llm", entry.clock.now());
+    assert_eq!(entry.relay.revision() == 6, is_known);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_relay_that_does_not_know_all_changes_says_so() {
     let entry = follower();
