Count a stream as usage from its first event only

Cause: a stream that a server left without an answer was counted as begun, because it may have run. A stream begins with its first event; under overload hundreds are given up as silent before it. Change: a stream that ended silent or cut before its first event is not counted; plain requests are counted as before. Test: path::a_stream_without_an_event_is_no_usage, failed before.

--- a/src/entry/call/attempt.rs
+++ b/src/entry/call/attempt.rs
@@ -10,6 +10,7 @@
 
 use crate::core::retry::Cause;
 use crate::core::retry::Decision;
+use crate::core::verdict::Verdict;
 use crate::entry::backends::Backends;
 use crate::entry::backends::Chosen;
 use crate::entry::backends::Seat;
@@ -79,7 +80,10 @@
 
     /// Records what a failure says about the server.
     pub fn note_failure(&mut self, chosen: &Chosen, cause: Cause) {
-        if cause.verdict() == crate::core::verdict::Verdict::MayHaveRun {
+        // A stream begins with its first event, which counts it.
+        let is_unanswered = matches!(cause, Cause::Silent | Cause::Cut);
+        let is_begun = !(is_unanswered && self.route.kind.is_stream());
+        if cause.verdict() == Verdict::MayHaveRun && is_begun {
             self.count_run();
         }
         if cause.blames_version() {
--- a/tests/entry/path.rs
+++ b/tests/entry/path.rs
@@ -42,6 +42,7 @@
     front: SocketAddr,
     lines: channel::Receiver<String>,
     runs: Arc<AtomicUsize>,
+    entry: Arc<Entry>,
     _stop: watch::Sender<bool>,
 }
 
@@ -108,6 +109,7 @@
         .with_routes(vec![
             route("/read/", Kind::Idempotent),
             route("/order/", Kind::Once),
+            route("/draft/", Kind::Stream),
         ])
         .with_workspaces(vec![Workspace {
             name: "familias".into(),
@@ -174,6 +176,7 @@
             front,
             lines,
             runs,
+            entry,
             _stop: stop,
         }
     }
@@ -212,6 +215,13 @@
     fn runs(&self) -> usize {
         self.runs.load(Ordering::Relaxed)
     }
+
+    /// Returns the requests that the entry reports as begun.
+    fn usage(&self) -> u64 {
+        let counts = self.entry.usage.counts();
+        let requests = counts.iter().flat_map(|counts| counts.requests.iter());
+        requests.map(|(_, count)| count).sum()
+    }
 }
 
 fn status(answer: &str) -> u16 {
@@ -255,6 +265,19 @@
     assert_eq!(world.ask("POST", "/order/busy", "q-1", "k-1").await, 503);
 }
 
+/// A server begins a stream with its first event.
+#[tokio::test]
+async fn a_stream_without_an_event_is_no_usage() {
+    let world = World::start(true).await;
+    assert_eq!(world.ask("POST", "/draft/cut", "q-1", "k-1").await, 502);
+    assert_eq!(world.runs(), 1);
+    assert_eq!(world.usage(), 0);
+    assert_eq!(world.ask("POST", "/order/cut", "q-2", "k-1").await, 502);
+    assert_eq!(world.usage(), 1);
+    assert_eq!(world.ask("POST", "/order/busy", "q-3", "k-1").await, 503);
+    assert_eq!(world.usage(), 1);
+}
+
 /// OPERATIONS.md, "No server could be reached".
 #[tokio::test]
 async fn the_lines_of_a_request_that_reached_no_server_name_the_server() {
