Keep quotas when all nodes start again amid a sudden demand

Cause: after a restart every node took its demand, and told it, as if it had run idle for a long time, so that the sum of all was too small for a second and too much was let through; a debt from before was forgotten. Until the tick after the registrations were read, a node also reckoned with 8 others. Change: the demand of a young node is scaled to its age; a node starts with a debt of one second of the rate; quotas are refreshed when registrations are read.

--- a/src/core/limit/quota.rs
+++ b/src/core/limit/quota.rs
@@ -7,6 +7,14 @@
 /// Time constant of the measured demand.
 const DEMAND_SPAN: Duration = Duration::from_secs(1);
 
+/// Time at the full rate that a node takes to be owed when it starts, since the
+/// processes before it may have let through too much.
+const START_DEBT: Duration = Duration::from_secs(1);
+
+/// Least age of a node from which its demand is reckoned up to that of a node
+/// that has run for long.
+const MIN_AGE: Duration = Duration::from_millis(100);
+
 /// Time over which a level above or below zero is used up or made good.
 ///
 /// It is longer than the news of other nodes take, so that all of them together
@@ -21,10 +29,10 @@
 
 /// The quota of one workspace as this node sees it.
 ///
-/// A node starts with nothing left of the burst, since the processes before it may
-/// have used it. Every node follows what all nodes have admitted, and lets a request through
-/// with a chance that is the same at every node: the rate, more or less what is
-/// left of the burst, over the demand. Requests of any size have the same
+/// A node starts with nothing left of the burst and a small debt, since the
+/// processes before it may have used both. Every node follows what all nodes
+/// have admitted, and lets a request through with a chance that is the same at
+/// every node: the rate, more or less what is left of the burst, over the demand. Requests of any size have the same
 /// chance, and a workspace within its quota is never refused, however its
 /// requests are spread over the nodes.
 #[derive(Clone, Debug)]
@@ -37,6 +45,7 @@
     others: f64,
     unheard: usize,
     at: Time,
+    since: Time,
 }
 
 impl Quota {
@@ -51,12 +60,16 @@
             others: 0.0,
             unheard: 0,
             at: now,
+            since: now,
         }
     }
 
     /// Sets the units a second and at once; a rate of 0 means no limit.
     pub fn set(&mut self, rate: f64, burst: f64, now: Time) {
         self.advance(now);
+        if self.rate == 0.0 {
+            self.level -= rate * START_DEBT.as_secs_f64();
+        }
         self.rate = rate;
         self.burst = burst;
         self.level = self.level.min(burst);
@@ -85,6 +98,13 @@
 
     /// Returns the units that callers asked this node for lately, a second.
     pub fn demand(&self, now: Time) -> f64 {
+        let age = now.since(self.since).max(MIN_AGE);
+        self.faded(now) / -(-age.as_secs_f64() / DEMAND_SPAN.as_secs_f64()).exp_m1()
+    }
+
+    /// Returns the mean demand as if nothing had been asked for before this
+    /// node started.
+    fn faded(&self, now: Time) -> f64 {
         let passed = now.since(self.at).as_secs_f64();
         self.own * (-passed / DEMAND_SPAN.as_secs_f64()).exp()
     }
@@ -108,14 +128,20 @@
 
     /// Returns the chance of a request to be admitted.
     fn chance(&self) -> f64 {
-        let demand = self.own * (1 + self.unheard) as f64 + self.others;
+        // One request is little to conclude from for many nodes.
+        let own = if self.unheard > 0 {
+            self.own * (1 + self.unheard) as f64
+        } else {
+            self.demand(self.at)
+        };
+        let demand = own + self.others;
         let allowed = self.rate * RATE_PART + self.level / LEVEL_SPAN.as_secs_f64();
         (allowed / demand.max(f64::MIN_POSITIVE)).clamp(0.0, 1.0)
     }
 
     fn advance(&mut self, now: Time) {
         let passed = now.since(self.at).as_secs_f64();
-        self.own = self.demand(now);
+        self.own = self.faded(now);
         self.level = (self.level + passed * self.rate * RATE_PART).min(self.burst);
         self.at = self.at.max(now);
     }
--- a/src/entry/feeds/nodes.rs
+++ b/src/entry/feeds/nodes.rs
@@ -10,6 +10,7 @@
 use crate::entry::beats::Member;
 use crate::entry::feeds;
 use crate::entry::feeds::Feed;
+use crate::entry::limits;
 use crate::entry::outside::Change;
 use crate::entry::outside::Content;
 use crate::entry::outside::Kind;
@@ -94,6 +95,8 @@
                 }
                 own = self.take(entry, object).or(own);
             }
+            // Quotas depend on how many nodes there are.
+            limits::refresh(entry);
             match own {
                 Some(revision) => {
                     entry.beats.set_incarnation(revision);
