Order servers from what requests take, and only once servers are known

Changes: no order before 3 s while nothing was asked for; until the load is known the largest fleet seen counts; the need is bounded by the rate of requests times 1.5 times the shortest time that one took; a loss orders for one more; orders of a round go out together; an overdue lease is read early; the node that has run for longest is next. The load has a file of its own. Tests, each failing first: orders::servers_that_have_not_registered_yet_..., a_large_fleet_is_replaced_..., requests_that_pile_up_..., a_second_loss_..., lease::a_renewal_that_was_not_told_..., the_node_that_has_run_for_longest_.... Lower orders now take effect at once in the tests' world, as on the platform.

--- a/src/core/fleet/mod.rs
+++ b/src/core/fleet/mod.rs
@@ -10,6 +10,7 @@
 use crate::core::Name;
 use crate::core::route::servers::Class;
 
+pub mod load;
 pub mod orders;
 pub mod starts;
 
--- a/src/core/fleet/orders.rs
+++ b/src/core/fleet/orders.rs
@@ -9,92 +9,24 @@
 
 use crate::core::Name;
 use crate::core::catalog::Scale;
+use crate::core::fleet::load::Need;
 use crate::core::route::servers::Class;
 use crate::core::time::Time;
 
-/// Requests at one server at which all of them still meet their targets.
-const COMFORT: f64 = 12.0;
-
-/// Part of the slots of a server that is used at most.
-const SLOT_PART: f64 = 0.7;
-
-/// Time constant with which the measured load follows the requests that run.
-const LOAD_SPAN: Duration = Duration::from_millis(1_500);
-
-/// Time for which the highest load is provided for after it has passed.
-const PEAK_SPAN: Duration = Duration::from_secs(20);
-
-/// Time with requests after which the measured load may lead to fewer servers.
-const LEARN_SPAN: Duration = Duration::from_secs(12);
-
-/// The requests of a service that run at the same time, over all nodes.
-///
-/// Servers take seconds to start and their caches longer to fill, so the
-/// highest load of the last while counts and not that of the moment.
-#[derive(Clone, Debug, Default)]
-pub struct Load {
-    mean: f64,
-    at: Option<Time>,
-    since: Option<Time>,
-    /// Highest load in the current span and in the one before.
-    peaks: [f64; 2],
-    turned: Time,
-}
-
-impl Load {
-    /// Creates the load of a service without requests.
-    pub fn new() -> Self {
-        Self::default()
-    }
-
-    /// Records that `running` requests run now.
-    pub fn record(&mut self, running: f64, now: Time) {
-        let passed = self.at.map_or(Duration::ZERO, |at| now.since(at));
-        let part = 1.0 - (-passed.as_secs_f64() / LOAD_SPAN.as_secs_f64()).exp();
-        self.mean += part * (running - self.mean);
-        self.at = Some(now);
-        if running > 0.0 {
-            self.since.get_or_insert(now);
-        }
-        if now.since(self.turned) > PEAK_SPAN / 2 {
-            self.peaks = [self.mean, self.peaks[0]];
-            self.turned = now;
-        }
-        self.peaks[0] = self.peaks[0].max(self.mean);
-    }
-
-    /// Returns the servers with `slots` each that carry the load, or `None` if
-    /// too little of it was seen to order fewer than there are.
-    pub fn needed(&self, slots: u32, now: Time) -> Need {
-        let comfort = COMFORT.min(f64::from(slots) * SLOT_PART).max(1.0);
-        let peak = self.peaks[0].max(self.peaks[1]);
-        Need {
-            servers: (peak / comfort).ceil().max(1.0) as u32,
-            is_learned: self
-                .since
-                .is_some_and(|since| now.since(since) >= LEARN_SPAN),
-        }
-    }
-}
-
-/// The servers that a service needs.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Need {
-    /// How many carry the load.
-    pub servers: u32,
-    /// Whether enough was seen to have fewer servers than there are.
-    pub is_learned: bool,
-}
-
 /// Part of the load that is carried while two failure domains are lost.
 const TWO_LOST_PART: f64 = 0.8;
 
-/// Part of the servers on demand that are there that is provided for until the
-/// load is known.
-const UNLEARNED_PART: f64 = 0.6;
+/// Part of the servers that are there that is provided for until the load is
+/// known.
+///
+/// With three failure domains, two of which may be lost, this leads to about as
+/// many reclaimable servers as there were servers.
+const UNLEARNED_PART: f64 = 0.4;
 
-/// The same part of reclaimable servers.
-const SPARE_PART: f64 = 0.4;
+/// Time for which a planner orders nothing while it sees no server at all or no
+/// request has come, since servers register over some seconds after they and
+/// the nodes have started.
+const FIRST_LOOK: Duration = Duration::from_secs(3);
 
 /// Time after a refused order until reclaimable servers are asked for again.
 const REFUSED_REST: Duration = Duration::from_secs(4);
@@ -119,6 +51,13 @@
     pub noticed: u32,
 }
 
+impl Stock {
+    /// Returns whether there is no server, not even one under notice.
+    const fn is_empty(&self) -> bool {
+        self.reclaimable + self.on_demand + self.noticed == 0
+    }
+}
+
 /// An order for a number of servers of one class in one failure domain.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Order {
@@ -151,6 +90,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct Planner {
     rows: Vec<Row>,
+    since: Option<Time>,
+    /// Most servers of one class that were there before the load was known.
+    most: u32,
 }
 
 impl Planner {
@@ -188,7 +130,12 @@
 
     /// Returns the orders to send now.
     pub fn orders(&mut self, scale: &Scale, stocks: &[Stock], need: Need, now: Time) -> Vec<Order> {
-        let needed = provided(need, stocks);
+        let since = *self.since.get_or_insert(now);
+        let is_first = need.is_unused || stocks.iter().all(Stock::is_empty);
+        if is_first && now.since(since) < FIRST_LOOK {
+            return Vec::new();
+        }
+        let needed = self.provided(need, stocks);
         let has_reclaimable = scale.reclaimable_price.is_some();
         let target = if has_reclaimable {
             reclaimable_target(needed, stocks.len())
@@ -197,7 +144,8 @@
         };
         let target = target.clamp(scale.min.max(1), scale.max);
         let on_demand = if has_reclaimable {
-            on_demand_counts(scale, stocks, needed)
+            let is_lost = stocks.iter().any(|stock| self.is_dry(stock, now));
+            on_demand_counts(scale, stocks, shortage(needed, stocks, is_lost))
         } else {
             vec![target; stocks.len()]
         };
@@ -210,12 +158,29 @@
                 let count = target.min(scale.max.saturating_sub(taken));
                 self.push(&mut orders, scale, stock, Class::Reclaimable, count, now);
             }
-            let count = self.keep_surplus(scale, stock, wanted, now);
+            let count = if need.is_unused {
+                wanted
+            } else {
+                self.keep_surplus(scale, stock, wanted, now)
+            };
             self.push(&mut orders, scale, stock, Class::OnDemand, count, now);
         }
         orders
     }
 
+    /// Returns the servers to provide for.
+    fn provided(&mut self, need: Need, stocks: &[Stock]) -> u32 {
+        if need.is_learned {
+            return need.servers;
+        }
+        // Those that are there were enough for whoever ordered them.
+        let on_demand: u32 = stocks.iter().map(|stock| stock.on_demand).sum();
+        let reclaimable: u32 = stocks.iter().map(|stock| stock.reclaimable).sum();
+        self.most = self.most.max(on_demand).max(reclaimable);
+        let kept = f64::from(self.most) * UNLEARNED_PART;
+        need.servers.max(kept.ceil() as u32)
+    }
+
     /// Returns whether no reclaimable servers are to be had in a domain.
     fn is_dry(&mut self, stock: &Stock, now: Time) -> bool {
         let row = self.row(&stock.domain);
@@ -301,26 +266,26 @@
     needed.div_ceil(without(1)).max(most.div_ceil(without(2)))
 }
 
-/// Returns the servers to provide for.
-fn provided(need: Need, stocks: &[Stock]) -> u32 {
-    if need.is_learned {
-        return need.servers;
+/// Returns how many servers on demand are needed beside the reclaimable ones.
+///
+/// When a domain is lost, another one may follow before servers that are ordered
+/// then have started.
+fn shortage(needed: u32, stocks: &[Stock], is_lost: bool) -> u32 {
+    let carried: u32 = stocks.iter().map(|stock| stock.reclaimable).sum();
+    let now = needed.saturating_sub(carried);
+    if !is_lost {
+        return now;
     }
-    // Those that are there were enough for whoever ordered them. Reclaimable
-    // ones are more than needed, since some of them may be lost.
-    let on_demand: u32 = stocks.iter().map(|stock| stock.on_demand).sum();
-    let reclaimable: u32 = stocks.iter().map(|stock| stock.reclaimable).sum();
-    let kept = (f64::from(on_demand) * UNLEARNED_PART).max(f64::from(reclaimable) * SPARE_PART);
-    need.servers.max(kept.ceil() as u32)
+    let largest = stocks.iter().map(|stock| stock.reclaimable).max();
+    let most = (f64::from(needed) * TWO_LOST_PART).ceil() as u32;
+    now.max(most.saturating_sub(carried - largest.unwrap_or_default()))
 }
 
 /// Returns the servers on demand to have in each domain, in the order of
-/// `stocks`, so that they and the reclaimable ones carry the load.
+/// `stocks`, so that there are `shortage` of them.
 ///
 /// Those that are there stay before new ones are ordered where they are cheapest.
-fn on_demand_counts(scale: &Scale, stocks: &[Stock], needed: u32) -> Vec<u32> {
-    let carried: u32 = stocks.iter().map(|stock| stock.reclaimable).sum();
-    let mut shortage = needed.saturating_sub(carried);
+fn on_demand_counts(scale: &Scale, stocks: &[Stock], mut shortage: u32) -> Vec<u32> {
     let mut by_price: Vec<usize> = (0..stocks.len()).collect();
     let price_at = |at: &usize| price(scale, &stocks[*at].domain);
     by_price.sort_by(|a, b| price_at(a).total_cmp(&price_at(b)));
--- a/src/core/lease/mod.rs
+++ b/src/core/lease/mod.rs
@@ -32,6 +32,10 @@
 /// Longest time for which an order may be on its way.
 pub const ORDER_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Part of the term after which a lease that was not seen to move is read: a
+/// renewal, and the time until others are told of it.
+const OVERDUE_PART: f64 = 0.55;
+
 /// The times of a lease.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Terms {
@@ -117,6 +121,7 @@
     held_until: Option<Time>,
     acts_from: Time,
     last_write: Option<Time>,
+    looked_at: Time,
 }
 
 impl Duty {
@@ -130,6 +135,7 @@
             held_until: None,
             acts_from: Time::default(),
             last_write: None,
+            looked_at: Time::default(),
         }
     }
 
@@ -142,6 +148,7 @@
 
     /// Takes over the lease object as read at `now`.
     pub fn record_read(&mut self, lease: Option<Lease>, now: Time) {
+        self.looked_at = now;
         let Some(lease) = lease else {
             self.seen = None;
             return;
@@ -181,6 +188,7 @@
 
     /// Takes over that a write failed or that its outcome is not known.
     pub fn record_lost(&mut self) {
+        self.looked_at = Time::default();
         self.held_until = None;
     }
 
@@ -275,6 +283,17 @@
         })
     }
 
+    /// Returns whether the lease was not seen to move for longer than renewals
+    /// take to be told, so that it should be read.
+    ///
+    /// The last renewal before a holder fails may not have been told. A node that
+    /// finds it only when the lease seems free has to wait for a term once more.
+    pub fn is_overdue(&self, now: Time) -> bool {
+        let Some(seen) = &self.seen else { return true };
+        let looked = self.looked_at.max(seen.moved_at);
+        seen.lease.is_released() || now.since(looked) >= self.terms.term.mul_f64(OVERDUE_PART)
+    }
+
     /// Returns the node that held the lease when it was last seen.
     pub fn holder(&self) -> Option<&Name> {
         self.seen.as_ref().map(|seen| &seen.lease.holder)
@@ -291,3 +310,12 @@
         self.seen.as_ref().map_or(0, |seen| seen.lease.fence)
     }
 }
+
+/// Returns whether the node with the incarnation `me` is the next to take a
+/// lease that is free, beside nodes with the incarnations `others`.
+///
+/// The node that has run for longest has heard the most: what processes counted
+/// that have stopped since, and how the load was.
+pub fn is_next(me: u64, mut others: impl Iterator<Item = u64>) -> bool {
+    others.all(|other| me < other)
+}
--- a/src/core/peer.rs
+++ b/src/core/peer.rs
@@ -12,6 +12,7 @@
 use serde::Serialize;
 
 use crate::core::Name;
+use crate::core::fleet::load::Traffic;
 use crate::core::lease::Lease;
 use crate::core::moves::judge::Evidence;
 use crate::core::retry::crash::Crash;
@@ -74,8 +75,8 @@
     pub lease: Option<Lease>,
     /// Use of quotas, by workspace.
     pub used: Table<Used>,
-    /// Requests at backend servers, by service.
-    pub running: Table<f64>,
+    /// What the node is asked for, by service.
+    pub traffic: Table<Traffic>,
     /// Requests that began to run, by window and workspace.
     pub usage: Vec<Counts>,
     /// Backend servers that went down lately under a request.
--- a/src/entry/beats.rs
+++ b/src/entry/beats.rs
@@ -131,6 +131,11 @@
         }
     }
 
+    /// Returns the incarnation of this process, or 0 before it is registered.
+    pub fn incarnation(&self) -> u64 {
+        self.state.lock().unwrap().incarnation
+    }
+
     /// Says which lease this entry holds.
     pub fn set_lease(&self, lease: Option<Lease>) {
         self.state.lock().unwrap().lease = lease;
@@ -340,7 +345,7 @@
         time: now,
         lease,
         used: entry.limits.used(now),
-        running: entry.backends.running(),
+        traffic: entry.fleet.traffic(),
         usage: entry.usage.counts(),
         crashes: entry.crashes.lock().unwrap().recent(now),
         judged: entry.moves.judged(),
--- a/src/entry/call/attempt.rs
+++ b/src/entry/call/attempt.rs
@@ -96,6 +96,9 @@
 
     /// Tells the judges of version moves how an answer went.
     pub fn record_answer(&self, chosen: &Chosen, failed: bool, latency: Duration) {
+        if !failed {
+            self.entry.fleet.count_answered(&self.service);
+        }
         let version = &chosen.listed.version;
         let route = &self.route.name;
         self.entry
--- a/src/entry/call/mod.rs
+++ b/src/entry/call/mod.rs
@@ -185,6 +185,7 @@
             })?;
     }
     entry.limits.earn(&service);
+    entry.fleet.count_asked(&service);
     metrics::counter!("cassialock_requests_total", "service" => service.to_string()).increment(1);
     Ok(Call {
         entry: Arc::clone(entry),
--- a/src/entry/duties.rs
+++ b/src/entry/duties.rs
@@ -3,11 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::future;
 use serde_json::Value;
 
 use crate::core::Name;
 use crate::core::config::Fencing;
 use crate::core::fleet::orders::Planner;
+use crate::core::lease;
 use crate::core::lease::Duty;
 use crate::core::lease::Lease;
 use crate::core::lease::Step;
@@ -106,14 +108,12 @@
 /// All nodes agree on it as far as they hear the same others; the lease decides
 /// where they do not.
 fn is_first(entry: &Entry, holder: Option<&Name>, now: Time) -> bool {
-    let me = entry.settings.load().node.clone();
-    let rank = |node: &str| crate::core::hash(&[LEASE, node]);
-    entry
-        .beats
-        .live(now)
+    let live = entry.beats.live(now);
+    let others = live
         .iter()
         .filter(|status| status.phase == Phase::Ready && Some(&status.node) != holder)
-        .all(|status| rank(&status.node) > rank(&me))
+        .map(|status| status.incarnation);
+    lease::is_next(entry.beats.incarnation(), others)
 }
 
 impl Duties {
@@ -130,8 +130,13 @@
         let is_holder = self.duty.is_held(now);
         let holder = self.duty.holder().cloned();
         let wanted = is_able && (is_holder || is_first(entry, holder.as_ref(), now));
-        if wanted && !is_holder && (!self.duty.is_free(now) || !self.read(entry).await) {
-            return;
+        if wanted && !is_holder {
+            if self.duty.is_overdue(now) && !self.read(entry).await {
+                return;
+            }
+            if !self.duty.is_free(entry.clock.now()) {
+                return;
+            }
         }
         match self.duty.step(wanted, entry.clock.now()) {
             Step::Write(lease) => self.write(entry, lease, is_holder).await,
@@ -257,15 +262,22 @@
                 .filter(|stock| scale.domain_prices.get(&stock.domain).is_some())
                 .collect();
             let slots = declared.engine.map_or(1, |engine| engine.slots);
-            let need = entry.fleet.needed(service, slots, now);
+            let mut need = entry.fleet.needed(service, slots, now);
+            // Nodes that held the duty before may have served callers.
+            need.is_unused &= holder.fence == FIRST_FENCE;
             let planner = self.planners.get_or_insert_with(service, Planner::new);
-            for order in planner.orders(scale, &stocks, need, now) {
-                if !self.duty.may_order(entry.clock.now()) {
-                    planner.record_lost(&order);
-                    continue;
-                }
-                let reply = entry.outside.cloud.order_servers(holder, service, &order);
-                let reply = limited(reply).await;
+            let orders = planner.orders(scale, &stocks, need, now);
+            if !self.duty.may_order(entry.clock.now()) {
+                orders.iter().for_each(|order| planner.record_lost(order));
+                continue;
+            }
+            // Each is about another domain or class, so none waits for another.
+            let cloud = &entry.outside.cloud;
+            let calls = orders.iter().map(|order| async move {
+                let reply = cloud.order_servers(holder, service, order);
+                (order, limited(reply).await)
+            });
+            for (order, reply) in future::join_all(calls).await {
                 entry.events.write(
                     Line::new("servers_ordered")
                         .with("service", &**service)
@@ -283,7 +295,7 @@
                         planner.record_refused(&order.domain, now);
                     }
                     CloudReply::Refused => self.duty.record_lost(),
-                    CloudReply::Busy | CloudReply::Lost => planner.record_lost(&order),
+                    CloudReply::Busy | CloudReply::Lost => planner.record_lost(order),
                 }
             }
         }
@@ -418,6 +430,9 @@
     }
 }
 
+/// Fence of the first node of a deployment that holds the duties.
+const FIRST_FENCE: u64 = 1;
+
 /// Bounds the time of a call; one that takes longer may still be carried out.
 async fn limited(call: impl Future<Output = CloudReply>) -> CloudReply {
     tokio::time::timeout(CALL_TIMEOUT, call)
--- a/tests/decisions/lease.rs
+++ b/tests/decisions/lease.rs
@@ -195,3 +195,63 @@
     assert_eq!(duty.fence(), 0);
     assert!(!duty.may_order(at(0) + Duration::from_secs(1)));
 }
+
+/// The last renewal of a holder that fails was written and not told.
+#[test]
+fn a_renewal_that_was_not_told_does_not_cost_a_second_term() {
+    let mut old = Duty::new("a".into(), Fencing::Refused);
+    let told = take(&mut old, at(0));
+    let mut written = told.clone();
+    written.renewal += 1;
+    let mut new = Duty::new("b".into(), Fencing::Refused);
+    new.record_heard(told, at(0));
+    let term = lease::TERM.as_millis() as u64;
+    let taken = (0..3 * term)
+        .step_by(250)
+        .find(|ms| {
+            let now = at(*ms);
+            if new.is_overdue(now) {
+                new.record_read(Some(written.clone()), now);
+            }
+            new.is_free(now) && matches!(new.step(true, now), Step::Write(_))
+        })
+        .unwrap();
+    assert!(taken >= term, "the holder may still act");
+    assert!(taken <= term * 8 / 5, "taken after {taken} ms");
+}
+
+#[test]
+fn a_lease_that_is_told_in_time_is_not_read() {
+    let mut old = Duty::new("a".into(), Fencing::Refused);
+    let mut lease = take(&mut old, at(0));
+    let mut new = Duty::new("b".into(), Fencing::Refused);
+    for ms in (0..120_000).step_by(250) {
+        if ms % 5_000 == 0 {
+            lease.renewal += 1;
+        }
+        // Told by heartbeats, some of which are lost.
+        if ms % 5_000 == 1_500 {
+            new.record_heard(lease.clone(), at(ms));
+        }
+        assert!(ms < 1_500 || !new.is_overdue(at(ms)), "read after {ms} ms");
+    }
+}
+
+/// All nodes are stopped and started in turn, and each takes over from another.
+#[test]
+fn the_node_that_has_run_for_longest_takes_over() {
+    let mut nodes: Vec<u64> = (1..=9).collect();
+    for started in 10..30 {
+        let stopped = (started as usize * 7) % nodes.len();
+        nodes[stopped] = started;
+        let next: Vec<u64> = nodes
+            .iter()
+            .copied()
+            .filter(|me| {
+                let others = nodes.iter().copied().filter(|other| other != me);
+                lease::is_next(*me, others)
+            })
+            .collect();
+        assert_eq!(next, [*nodes.iter().min().unwrap()]);
+    }
+}
--- a/tests/decisions/orders.rs
+++ b/tests/decisions/orders.rs
@@ -3,8 +3,9 @@
 use std::time::Duration;
 
 use cassialock::core::catalog::Scale;
-use cassialock::core::fleet::orders::Load;
-use cassialock::core::fleet::orders::Need;
+use cassialock::core::fleet::load::Load;
+use cassialock::core::fleet::load::Need;
+use cassialock::core::fleet::load::Traffic;
 use cassialock::core::fleet::orders::Order;
 use cassialock::core::fleet::orders::Planner;
 use cassialock::core::fleet::orders::Stock;
@@ -26,8 +27,18 @@
     }
 }
 
+/// Requests that take a tenth of a second.
+fn steady(running: f64) -> Traffic {
+    Traffic {
+        running,
+        asked: running * 10.0,
+        answered: running * 10.0,
+    }
+}
+
 /// Servers that come some seconds after an order, and go at once.
 struct World {
+    scale: Scale,
     stocks: Vec<Stock>,
     starting: Vec<(u64, Order)>,
     dry: bool,
@@ -42,6 +53,7 @@
             ..Stock::default()
         };
         Self {
+            scale: scale(),
             stocks: vec![stock("a"), stock("b"), stock("c")],
             starting: Vec::new(),
             dry: false,
@@ -54,14 +66,21 @@
         let need = Need {
             servers: needed,
             is_learned: true,
+            is_unused: false,
         };
+        self.run_with(planner, need, from, to);
+    }
+
+    fn run_with(&mut self, planner: &mut Planner, need: Need, from: u64, to: u64) {
         for ms in (from..to).step_by(STEP_MS as usize) {
             self.arrive(ms);
             let now = Time::from_millis(ms);
-            for order in planner.orders(&scale(), &self.stocks, need, now) {
+            for order in planner.orders(&self.scale, &self.stocks, need, now) {
                 self.orders += 1;
                 if order.class == Class::Reclaimable && self.dry {
                     planner.record_refused(&order.domain, now);
+                } else if self.is_fewer(&order) {
+                    self.starting.push((ms, order));
                 } else {
                     self.starting.push((ms + BOOT_MS, order));
                 }
@@ -69,6 +88,16 @@
         }
     }
 
+    /// Servers that are not wanted any more leave at once.
+    fn is_fewer(&self, order: &Order) -> bool {
+        let mut stocks = self.stocks.iter();
+        let stock = stocks.find(|stock| stock.domain == order.domain).unwrap();
+        match order.class {
+            Class::Reclaimable => order.count < stock.reclaimable,
+            Class::OnDemand => order.count < stock.on_demand,
+        }
+    }
+
     fn arrive(&mut self, ms: u64) {
         let due: Vec<Order> = self
             .starting
@@ -158,6 +187,8 @@
     assert!(!early.is_learned);
     let mut planner = Planner::new();
     let stocks = World::new(3).stocks;
+    let first = planner.orders(&scale(), &stocks, early, Time::from_millis(6_000));
+    assert_eq!(first, [], "not all servers may be known");
     let orders = planner.orders(&scale(), &stocks, early, Time::from_millis(9_000));
     let reclaimable: u32 = orders
         .iter()
@@ -169,7 +200,7 @@
         "three in each domain, one of which may go"
     );
     for ms in (0..30_000).step_by(500) {
-        load.record(70.0, Time::from_millis(ms));
+        load.record(&steady(70.0), Time::from_millis(ms));
     }
     let known = load.needed(128, Time::from_millis(30_000));
     assert!(known.is_learned);
@@ -180,14 +211,109 @@
 fn a_peak_is_provided_for_after_it_has_passed() {
     let mut load = Load::new();
     for ms in (0..20_000).step_by(500) {
-        load.record(100.0, Time::from_millis(ms));
+        load.record(&steady(100.0), Time::from_millis(ms));
     }
     for ms in (20_000..28_000).step_by(500) {
-        load.record(20.0, Time::from_millis(ms));
+        load.record(&steady(20.0), Time::from_millis(ms));
     }
     assert!(load.needed(128, Time::from_millis(28_000)).servers >= 8);
     for ms in (28_000..60_000).step_by(500) {
-        load.record(20.0, Time::from_millis(ms));
+        load.record(&steady(20.0), Time::from_millis(ms));
     }
     assert!(load.needed(128, Time::from_millis(60_000)).servers <= 3);
 }
+
+/// A need of which nothing was measured, before the first request.
+const UNUSED: Need = Need {
+    servers: 1,
+    is_learned: false,
+    is_unused: true,
+};
+
+/// The load: the start of a deployment, whose servers register some time after
+/// the first node looks for them.
+#[test]
+fn servers_that_have_not_registered_yet_are_waited_for() {
+    let mut world = World::new(0);
+    let mut planner = Planner::new();
+    world.run_with(&mut planner, UNUSED, 0, 1_000);
+    world.stocks[0].on_demand = 1;
+    world.run_with(&mut planner, UNUSED, 1_000, 2_000);
+    assert_eq!(world.orders, 0, "not all servers are known");
+    world.stocks[0].on_demand = 0;
+    world.run_with(&mut planner, UNUSED, 2_000, 8_000);
+    assert!(world.orders > 0, "there may really be none");
+}
+
+/// The load: traffic for all of the declared fleet begins some seconds after
+/// the nodes do, and nothing of it is known before.
+#[test]
+fn a_large_fleet_is_replaced_by_as_many_reclaimable_servers_before_traffic() {
+    let mut world = World::new(19);
+    world.scale.max = 40;
+    let mut planner = Planner::new();
+    for ms in (0..3_500).step_by(500) {
+        world.run_with(&mut planner, UNUSED, ms, ms + 500);
+        assert!(world.serving() >= 57 * 2 / 5, "a caller may come early");
+    }
+    world.run_with(&mut planner, UNUSED, 3_500, 13_000);
+    assert!(world.serving() >= 54, "{} are left", world.serving());
+    assert_eq!(world.on_demand(), 0, "reclaimable ones have started");
+    assert!(world.orders <= 12, "{} orders", world.orders);
+}
+
+/// The load: all nodes start again beside servers that are in use.
+#[test]
+fn servers_on_demand_stay_for_a_while_when_callers_may_be_there() {
+    let mut world = World::new(4);
+    world.dry = true;
+    let mut planner = Planner::new();
+    let need = Need {
+        is_unused: false,
+        ..UNUSED
+    };
+    world.run_with(&mut planner, need, 0, 2_500);
+    let kept = |order: &Order| order.class != Class::OnDemand || order.count >= 4;
+    assert!(world.starting.iter().all(|(_, order)| kept(order)));
+    assert_eq!(world.on_demand(), 12);
+}
+
+/// The load: twice the requests while some servers are lost, so that requests
+/// run for ten times as long and half of them are not answered.
+#[test]
+fn requests_that_pile_up_do_not_look_like_many_times_the_load() {
+    let mut load = Load::new();
+    for ms in (0..20_000).step_by(500) {
+        load.record(&steady(100.0), Time::from_millis(ms));
+    }
+    for ms in (20_000..26_000).step_by(500) {
+        let piled = Traffic {
+            running: 1_000.0,
+            asked: 2_000.0,
+            answered: 1_000.0,
+        };
+        load.record(&piled, Time::from_millis(ms));
+    }
+    let needed = load.needed(12, Time::from_millis(26_000)).servers;
+    let carries = 200.0 / (12.0 * 0.7);
+    assert!(f64::from(needed) >= carries, "{needed} for twice the load");
+    assert!(
+        f64::from(needed) <= carries * 1.6,
+        "{needed} for twice the load"
+    );
+}
+
+/// The load: one domain is lost while the need has doubled since the
+/// reclaimable servers were ordered, and a second loss may follow.
+#[test]
+fn a_second_loss_is_provided_for_at_the_first() {
+    let mut world = World::new(3);
+    world.scale.max = 40;
+    let mut planner = Planner::new();
+    world.run(&mut planner, 20, 0, 20_000);
+    world.lose(0);
+    world.run(&mut planner, 40, 20_000, 25_000);
+    world.lose(1);
+    world.run(&mut planner, 40, 25_000, 25_250);
+    assert!(world.serving() >= 40 * 8 / 10, "{} serve", world.serving());
+}
--- a/tests/entry/relay.rs
+++ b/tests/entry/relay.rs
@@ -39,7 +39,7 @@
         time: Time::default(),
         lease: None,
         used: Table::new(),
-        running: Table::new(),
+        traffic: Table::new(),
         usage: Vec::new(),
         crashes: Vec::new(),
         judged: Table::new(),
