Call a store that is away less often where a relay tells of its return

Calls are paid. Change: an entry that asks another one tries a store that is away once a second instead of four times, and gathers registrations for 10 s instead of 3 s; the entries that tell others stay as they were. Test: feeds::an_entry_with_a_relay_seldom_tries_a_store_that_is_away; without the change it makes as many calls as one without a relay, 40 and more in 10 s.

--- a/src/entry/feeds/backends.rs
+++ b/src/entry/feeds/backends.rs
@@ -45,7 +45,7 @@
         BACKENDS_WAIT
     }
 
-    fn rest(&self) -> Duration {
+    fn rest(&self, _entry: &Entry) -> Duration {
         GATHER
     }
 
--- a/src/entry/feeds/mod.rs
+++ b/src/entry/feeds/mod.rs
@@ -40,6 +40,10 @@
 /// Longest wait after failed calls.
 const MAX_BACKOFF: Duration = Duration::from_millis(250);
 
+/// Longest wait after failed calls of an entry that asks another one, and is
+/// told by it when the store is back.
+const RELAYED_BACKOFF: Duration = Duration::from_secs(1);
+
 /// How a feed goes on after another entry has told its news.
 enum Resume {
     /// Watch from a revision.
@@ -62,7 +66,7 @@
     }
 
     /// Time to wait between an answer with changes and the next watch.
-    fn rest(&self) -> Duration {
+    fn rest(&self, _entry: &Entry) -> Duration {
         Duration::ZERO
     }
 
@@ -174,7 +178,7 @@
                 };
                 feed.confirm(entry, known);
                 if !is_empty {
-                    tokio::time::sleep(feed.rest()).await;
+                    tokio::time::sleep(feed.rest(entry)).await;
                 }
                 Ok(Step::Answered)
             }
@@ -191,11 +195,15 @@
     /// Waits before the next call after a failed one.
     ///
     /// Refused calls are paid too, so one feed finds out when the store is back,
-    /// and wakes the others.
+    /// and wakes the others. The entries that tell others are the first to try.
     async fn rest(&self, entry: &Entry) {
         if self.is_first {
-            let wait = self.backoff / 2 + entry.jitter(self.backoff / 2);
-            tokio::time::sleep(wait).await;
+            let longest = if entry.relay.has_relay() {
+                RELAYED_BACKOFF
+            } else {
+                self.backoff
+            };
+            tokio::time::sleep(longest / 2 + entry.jitter(longest / 2)).await;
             return;
         }
         let mut returned = entry.store_returned.subscribe();
--- a/src/entry/feeds/nodes.rs
+++ b/src/entry/feeds/nodes.rs
@@ -22,6 +22,10 @@
 /// start are heard before their registrations are read.
 const NODES_GATHER: Duration = Duration::from_secs(3);
 
+/// The same time at an entry that neither tells others the news of the store nor
+/// would soon miss a registration.
+const RELAYED_GATHER: Duration = Duration::from_secs(10);
+
 /// Follows the registrations of entries, and keeps the own one there.
 struct NodesFeed {
     own: Member,
@@ -69,8 +73,12 @@
         feeds::SELDOM_WAIT
     }
 
-    fn rest(&self) -> Duration {
-        NODES_GATHER
+    fn rest(&self, entry: &Entry) -> Duration {
+        if entry.relay.has_relay() {
+            RELAYED_GATHER
+        } else {
+            NODES_GATHER
+        }
     }
 
     fn replace<'a>(
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -80,6 +80,8 @@
     asked: Option<(u64, Time)>,
     told: Option<Time>,
     is_told: bool,
+    /// Whether there is an entry to ask.
+    has_relay: bool,
 }
 
 /// This entry's part in telling news of the store.
@@ -127,6 +129,11 @@
         state.is_told && state.told.is_some_and(|at| now.since(at) < SILENCE)
     }
 
+    /// Returns whether this entry asks another one, which may not answer.
+    pub fn has_relay(&self) -> bool {
+        self.state.lock().unwrap().has_relay
+    }
+
     /// Waits until no other entry tells the news any more.
     pub async fn wait_untold(&self, entry: &Entry) {
         while self.is_told(entry.clock.now()) {
@@ -192,7 +199,9 @@
     let relay = relay::relay_of(&me, &names);
     let target = relay.and_then(|relay| live.iter().find(|status| status.node == relay));
     let mut state = entry.relay.state.lock().unwrap();
-    let Some(target) = target.filter(|_| state.revision > 0) else {
+    let target = target.filter(|_| state.revision > 0);
+    state.has_relay = target.is_some();
+    let Some(target) = target else {
         state.is_told = false;
         return None;
     };
--- a/tests/entry/fakes.rs
+++ b/tests/entry/fakes.rs
@@ -6,8 +6,14 @@
 use std::time::Duration;
 
 use cassialock::clock::Clock;
+use cassialock::core::Name;
 use cassialock::core::fleet::orders::Order;
+use cassialock::core::peer::Phase;
+use cassialock::core::peer::Status;
+use cassialock::core::relay as roles;
 use cassialock::core::route::servers::Class;
+use cassialock::core::table::Table;
+use cassialock::core::time::Time;
 use cassialock::core::usage::Counts;
 use cassialock::entry::Entry;
 use cassialock::entry::outside::Cloud;
@@ -181,3 +187,33 @@
         }),
     }
 }
+
+/// Returns what another entry says of itself.
+pub fn status(node: &str) -> Status {
+    Status {
+        node: node.into(),
+        incarnation: 1,
+        seq: 1,
+        domain: "rionegro".into(),
+        front: ([127, 0, 0, 1], 1).into(),
+        peer: ([127, 0, 0, 1], 2).into(),
+        phase: Phase::Ready,
+        time: Time::default(),
+        lease: None,
+        used: Table::new(),
+        traffic: Table::new(),
+        usage: Vec::new(),
+        crashes: Vec::new(),
+        judged: Table::new(),
+        vetoes: Table::new(),
+    }
+}
+
+/// Lets an entry hear `count` others, one of which it asks for news.
+pub fn add_peers(entry: &Entry, count: usize) {
+    let names: Vec<Name> = (0..count).map(|at| format!("peer-{at}").into()).collect();
+    for name in &names {
+        entry.beats.merge(status(name), entry.clock.now());
+    }
+    assert!(roles::relay_of("entry-1", &names).is_some());
+}
--- a/tests/entry/feeds.rs
+++ b/tests/entry/feeds.rs
@@ -8,6 +8,7 @@
 use cassialock::entry::outside::Listing;
 use cassialock::entry::outside::StoreError;
 use cassialock::entry::outside::Watched;
+use cassialock::entry::relay;
 
 use crate::fakes;
 use crate::fakes::Answer;
@@ -102,3 +103,25 @@
     task.abort();
     assert_eq!(script.asked.lock().unwrap().len(), 2);
 }
+
+/// Calls that the store refuses are paid. An entry that asks another one is told
+/// by it when the store is back.
+#[tokio::test(start_paused = true)]
+async fn an_entry_with_a_relay_seldom_tries_a_store_that_is_away() {
+    let calls = |has_relay: bool| async move {
+        let script = script((0..400).map(|_| down()).collect());
+        let entry = fakes::entry(&script);
+        if has_relay {
+            fakes::add_peers(&entry, 40);
+            entry.relay.record_list(5);
+            relay::ask(&entry).unwrap();
+        }
+        let task = tokio::spawn(feeds::catalog::follow(Arc::clone(&entry)));
+        tokio::time::sleep(Duration::from_secs(10)).await;
+        task.abort();
+        script.asked.lock().unwrap().len()
+    };
+    assert!(calls(false).await >= 40, "the first to find the store");
+    let relayed = calls(true).await;
+    assert!((10..=20).contains(&relayed), "{relayed} calls in 10 s");
+}
--- a/tests/entry/relay.rs
+++ b/tests/entry/relay.rs
@@ -4,11 +4,6 @@
 use std::time::Duration;
 
 use cassialock::core::catalog::Catalog;
-use cassialock::core::peer::Phase;
-use cassialock::core::peer::Status;
-use cassialock::core::relay as roles;
-use cassialock::core::table::Table;
-use cassialock::core::time::Time;
 use cassialock::entry::Entry;
 use cassialock::entry::outside::Content;
 use cassialock::entry::outside::Listed;
@@ -27,26 +22,6 @@
     }
 }
 
-fn status(node: &str) -> Status {
-    Status {
-        node: node.into(),
-        incarnation: 1,
-        seq: 1,
-        domain: "rionegro".into(),
-        front: ([127, 0, 0, 1], 1).into(),
-        peer: ([127, 0, 0, 1], 2).into(),
-        phase: Phase::Ready,
-        time: Time::default(),
-        lease: None,
-        used: Table::new(),
-        traffic: Table::new(),
-        usage: Vec::new(),
-        crashes: Vec::new(),
-        judged: Table::new(),
-        vetoes: Table::new(),
-    }
-}
-
 /// Returns an entry that knows one server as of revision 5 and is no relay.
 fn follower() -> Arc<Entry> {
     let entry = fakes::entry(&Arc::new(Script::default()));
@@ -56,12 +31,7 @@
     entry.backends.replace(vec![listed("i-1", false)], now);
     entry.relay.record_list(5);
     entry.relay.confirm(now);
-    let names: Vec<String> = (0..40).map(|at| format!("peer-{at}")).collect();
-    for name in &names {
-        entry.beats.merge(status(name), now);
-    }
-    let all: Vec<_> = names.iter().map(|name| name.as_str().into()).collect();
-    assert!(roles::relay_of("entry-1", &all).is_some());
+    fakes::add_peers(&entry, 40);
     entry
 }
 
@@ -120,7 +90,7 @@
     let entry = follower();
     tokio::time::advance(Duration::from_secs(2)).await;
     for at in 0..40 {
-        let mut later = status(&format!("peer-{at}"));
+        let mut later = fakes::status(&format!("peer-{at}"));
         later.seq = 2;
         entry.beats.merge(later, entry.clock.now());
     }
