--- a/src/core/fleet/load.rs
+++ b/src/core/fleet/load.rs
@@ -34,7 +34,7 @@
 const DRIFT: f64 = 0.01;
 
 /// Times the shortest time for which a request is provided for.
-const STRETCH: f64 = 1.5;
+const STRETCH: f64 = 3.0;
 
 /// What is asked of a service at one moment.
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
