--- a/src/core/lease/mod.rs
+++ b/src/core/lease/mod.rs
@@ -314,8 +314,9 @@
 /// Returns whether the node with the incarnation `me` is the next to take a
 /// lease that is free, beside nodes with the incarnations `others`.
 ///
+/// A node that is not registered yet has the incarnation 0 and is never next.
 /// The node that has run for longest has heard the most: what processes counted
 /// that have stopped since, and how the load was.
 pub fn is_next(me: u64, mut others: impl Iterator<Item = u64>) -> bool {
-    others.all(|other| me < other)
+    me > 0 && others.all(|other| me < other)
 }
--- a/src/core/limit/quota.rs
+++ b/src/core/limit/quota.rs
@@ -32,9 +32,9 @@
 /// A node starts with nothing left of the burst and a small debt, since the
 /// processes before it may have used both. Every node follows what all nodes
 /// have admitted, and lets a request through with a chance that is the same at
-/// every node: the rate, more or less what is left of the burst, over the demand. Requests of any size have the same
-/// chance, and a workspace within its quota is never refused, however its
-/// requests are spread over the nodes.
+/// every node: the rate, more or less what is left of the burst, over the
+/// demand. Requests of any size have the same chance, and a workspace within
+/// its quota is not refused, however its requests are spread over the nodes.
 #[derive(Clone, Debug)]
 pub struct Quota {
     rate: f64,
--- a/src/entry/duties.rs
+++ b/src/entry/duties.rs
@@ -8,6 +8,8 @@
 
 use crate::core::Name;
 use crate::core::config::Fencing;
+use crate::core::fleet::load::Need;
+use crate::core::fleet::orders::Order;
 use crate::core::fleet::orders::Planner;
 use crate::core::lease;
 use crate::core::lease::Duty;
@@ -44,6 +46,9 @@
 /// Longest time for which a call may be on its way.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Fence of the first node of a deployment that holds the duties.
+const FIRST_FENCE: u64 = 1;
+
 /// Name of the lease object.
 const LEASE: &str = "duties";
 
@@ -278,17 +283,11 @@
                 (order, limited(reply).await)
             });
             for (order, reply) in future::join_all(calls).await {
-                entry.events.write(
-                    Line::new("servers_ordered")
-                        .with("service", &**service)
-                        .with("domain", &*order.domain)
-                        .with("reclaimable", order.class == Class::Reclaimable)
-                        .with("count", order.count)
-                        .with("needed", need.servers)
-                        .with("is_learned", need.is_learned)
-                        .with("fence", holder.fence)
-                        .with("outcome", format!("{reply:?}")),
-                );
+                let line = order_line(order, need).with("service", &**service);
+                let line = line.with("fence", holder.fence);
+                entry
+                    .events
+                    .write(line.with("outcome", format!("{reply:?}")));
                 match reply {
                     CloudReply::Done => {}
                     CloudReply::Refused if order.class == Class::Reclaimable => {
@@ -430,8 +429,15 @@
     }
 }
 
-/// Fence of the first node of a deployment that holds the duties.
-const FIRST_FENCE: u64 = 1;
+/// Returns the line that says what is ordered and why.
+fn order_line(order: &Order, need: Need) -> Line {
+    Line::new("servers_ordered")
+        .with("domain", &*order.domain)
+        .with("reclaimable", order.class == Class::Reclaimable)
+        .with("count", order.count)
+        .with("needed", need.servers)
+        .with("is_learned", need.is_learned)
+}
 
 /// Bounds the time of a call; one that takes longer may still be carried out.
 async fn limited(call: impl Future<Output = CloudReply>) -> CloudReply {
--- a/src/entry/feeds/nodes.rs
+++ b/src/entry/feeds/nodes.rs
@@ -22,8 +22,8 @@
 /// start are heard before their registrations are read.
 const NODES_GATHER: Duration = Duration::from_secs(3);
 
-/// The same time at an entry that neither tells others the news of the store nor
-/// would soon miss a registration.
+/// The same time at an entry that asks another one for the news of the store. It
+/// hears new entries by their heartbeats.
 const RELAYED_GATHER: Duration = Duration::from_secs(10);
 
 /// Follows the registrations of entries, and keeps the own one there.
--- a/tests/decisions/lease.rs
+++ b/tests/decisions/lease.rs
@@ -237,6 +237,13 @@
     }
 }
 
+#[test]
+fn a_node_that_is_not_registered_takes_nothing() {
+    assert!(!lease::is_next(0, [1, 2].into_iter()));
+    assert!(!lease::is_next(0, [].into_iter()));
+    assert!(lease::is_next(1, [].into_iter()));
+}
+
 /// All nodes are stopped and started in turn, and each takes over from another.
 #[test]
 fn the_node_that_has_run_for_longest_takes_over() {
