Order more servers when they replace lost ones, since they start cold

Change: what is missing after a loss is ordered 1.6 times. Test: orders::servers_that_start_cold_are_more_than_those_that_are_lost, failed before.

--- a/src/core/fleet/orders.rs
+++ b/src/core/fleet/orders.rs
@@ -16,6 +16,9 @@
 /// Part of the load that is carried while two failure domains are lost.
 const TWO_LOST_PART: f64 = 0.8;
 
+/// Servers that have just started and carry what one does that has run for long.
+const COLD_FACTOR: f64 = 1.6;
+
 /// Part of the servers that are there that is provided for until the load is
 /// known.
 ///
@@ -269,7 +272,8 @@
 /// Returns how many servers on demand are needed beside the reclaimable ones.
 ///
 /// When a domain is lost, another one may follow before servers that are ordered
-/// then have started.
+/// then have started. Those that start have read nothing yet, and take longer for
+/// each request than those that are lost.
 fn shortage(needed: u32, stocks: &[Stock], is_lost: bool) -> u32 {
     let carried: u32 = stocks.iter().map(|stock| stock.reclaimable).sum();
     let now = needed.saturating_sub(carried);
@@ -278,7 +282,8 @@
     }
     let largest = stocks.iter().map(|stock| stock.reclaimable).max();
     let most = (f64::from(needed) * TWO_LOST_PART).ceil() as u32;
-    now.max(most.saturating_sub(carried - largest.unwrap_or_default()))
+    let missing = now.max(most.saturating_sub(carried - largest.unwrap_or_default()));
+    (f64::from(missing) * COLD_FACTOR).ceil() as u32
 }
 
 /// Returns the servers on demand to have in each domain, in the order of
--- a/tests/decisions/orders.rs
+++ b/tests/decisions/orders.rs
@@ -318,3 +318,19 @@
     world.run(&mut planner, 40, 25_000, 25_250);
     assert!(world.serving() >= 40 * 8 / 10, "{} serve", world.serving());
 }
+
+/// The load: all reclaimable servers are lost within seconds, and those that
+/// replace them have to read every prompt anew.
+#[test]
+fn servers_that_start_cold_are_more_than_those_that_are_lost() {
+    let mut world = World::new(3);
+    world.scale.max = 40;
+    let mut planner = Planner::new();
+    world.run(&mut planner, 10, 0, 20_000);
+    for (at, ms) in [(0, 20_000), (1, 24_000), (2, 26_000)] {
+        world.lose(at);
+        world.run(&mut planner, 10, ms, ms + 2_000);
+    }
+    world.run(&mut planner, 10, 28_000, 32_000);
+    assert!(world.serving() >= 15, "{} serve", world.serving());
+}
