--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -17,4 +17,5 @@
 mod relay;
 mod retry;
 mod route;
+mod stream;
 mod usage;
--- a/tests/entry/path.rs
+++ b/tests/entry/path.rs
@@ -28,6 +28,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::mpsc;
 use tokio::sync::watch;
 
 use crate::fakes;
@@ -42,6 +43,7 @@
     front: SocketAddr,
     lines: channel::Receiver<String>,
     runs: Arc<AtomicUsize>,
+    gone: Arc<AtomicUsize>,
     entry: Arc<Entry>,
     _stop: watch::Sender<bool>,
 }
@@ -72,7 +74,41 @@
     }
 }
 
-async fn backend(runs: Arc<AtomicUsize>) -> SocketAddr {
+/// Sends events from the one after `last` on, and cuts the first run within an
+/// event.
+fn follow(last: Option<&http::HeaderValue>, id: &str) -> Response<web::Body> {
+    let first = last.map_or(1, |last| last.to_str().unwrap().parse::<u32>().unwrap() + 1);
+    let (sender, parts) = mpsc::channel(8);
+    for at in first..first + 3 {
+        let event = format!("id: {at}\ndata: {at}\n\n");
+        sender.try_send(Ok(event.into())).unwrap();
+    }
+    if last.is_none() {
+        let part = format!("id: {}\nda", first + 3);
+        sender.try_send(Ok(part.into())).unwrap();
+        tokio::spawn(async move {
+            // What came before has to be on its way.
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            sender.try_send(Err(std::io::Error::other("cut"))).unwrap();
+        });
+    }
+    let mut response = web::events(parts);
+    let headers = response.headers_mut();
+    headers.insert("x-cassialock-request-id", id.parse().unwrap());
+    headers.insert("x-cassialock-response-stamp", "s".parse().unwrap());
+    response
+}
+
+/// Counts requests that end before they are answered.
+struct Left(Arc<AtomicUsize>);
+
+impl Drop for Left {
+    fn drop(&mut self) {
+        self.0.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+async fn backend(runs: Arc<AtomicUsize>, gone: Arc<AtomicUsize>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     tokio::spawn(async move {
@@ -80,8 +116,21 @@
         let handler = move |request: http::Request<hyper::body::Incoming>, _| {
             runs.fetch_add(1, Ordering::Relaxed);
             let id = request.headers()["x-cassialock-request-id"].clone();
-            let answer = respond(request.uri().path(), id.to_str().unwrap());
-            async move { answer }
+            let id = id.to_str().unwrap();
+            let answer = if request.uri().path().starts_with("/follow/") {
+                follow(request.headers().get("last-event-id"), id)
+            } else {
+                respond(request.uri().path(), id)
+            };
+            let is_slow = request.uri().path().ends_with("/slow");
+            let left = Left(Arc::clone(&gone));
+            async move {
+                if is_slow {
+                    tokio::time::sleep(PATIENCE).await;
+                }
+                std::mem::forget(left);
+                answer
+            }
         };
         web::serve(listener, handler, stopped).await;
     });
@@ -110,6 +159,7 @@
             route("/read/", Kind::Idempotent),
             route("/order/", Kind::Once),
             route("/draft/", Kind::Stream),
+            route("/follow/", Kind::Resumable),
         ])
         .with_workspaces(vec![Workspace {
             name: "familias".into(),
@@ -126,9 +176,9 @@
 impl World {
     /// Starts an entry before one backend server, or before none that listens.
     async fn start(has_backend: bool) -> Self {
-        let runs = Arc::new(AtomicUsize::new(0));
+        let (runs, gone) = (Arc::default(), Arc::default());
         let address = if has_backend {
-            backend(Arc::clone(&runs)).await
+            backend(Arc::clone(&runs), Arc::clone(&gone)).await
         } else {
             free_port().await
         };
@@ -176,6 +226,7 @@
             front,
             lines,
             runs,
+            gone,
             entry,
             _stop: stop,
         }
@@ -278,6 +329,47 @@
     assert_eq!(world.usage(), 1);
 }
 
+/// A server is not left to work for a caller that has closed its connection.
+#[tokio::test]
+async fn a_server_is_left_when_the_caller_leaves() {
+    for path in ["/read/slow", "/order/slow", "/draft/slow"] {
+        let world = World::start(true).await;
+        let mut stream = TcpStream::connect(world.front).await.unwrap();
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nhost: shop\r\nx-cassialock-request-id: q-1\r\n\
+             authorization: Token k-1\r\ncontent-length: 0\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).await.unwrap();
+        while world.runs() == 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        drop(stream);
+        let closed = Instant::now();
+        while world.gone.load(Ordering::Relaxed) == 0 {
+            assert!(closed.elapsed() < Duration::from_millis(500), "{path}");
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+}
+
+/// The second run begins after the last whole event that reached the caller.
+#[tokio::test]
+async fn a_cut_stream_that_can_be_resumed_goes_on_without_gap_or_repeat() {
+    let world = World::start(true).await;
+    let answer = world
+        .send(
+            "POST /follow/x HTTP/1.1\r\nhost: shop\r\nx-cassialock-request-id: q-1\r\n\
+             authorization: Token k-1\r\ncontent-length: 0\r\nconnection: close\r\n\r\n",
+        )
+        .await;
+    let ids: Vec<&str> = answer
+        .lines()
+        .filter_map(|line| line.strip_prefix("id: "))
+        .collect();
+    assert_eq!(ids, ["1", "2", "3", "4", "5", "6"], "{answer}");
+    assert_eq!(world.runs(), 2);
+}
+
 /// OPERATIONS.md, "No server could be reached".
 #[tokio::test]
 async fn the_lines_of_a_request_that_reached_no_server_name_the_server() {
