Do not wait for a relay that has lost the store beyond the time of a declaration

Cause: an entry believed its relay until the relay's declaration was unconfirmed for 1.7 s, asked every 0.4 s, and its feed looked for that every 0.5 s. There, version 80 was acknowledged at 25.8 s, the relays were turned away at 25.5 s, and edge-rionegro-1, -2 and -4 read it at 28.2 s. Ruled out: watches that hear nothing (entries that follow the store had it at 25.9 s), lost answers. Change: the age allowed is 0.62 of the time in which a declaration must be in force, 1.24 s here, and an answer that ends the belief wakes the feeds. Test: relay::a_relay_that_has_lost_the_store_does_not_hold_a_declaration_back, failed before.

--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -23,8 +23,11 @@
 /// Silence of a relay after which an entry follows the store itself.
 const SILENCE: Duration = Duration::from_millis(950);
 
-/// Age of a relay's declaration from which an entry follows the store itself.
-const MAX_AGE: Duration = Duration::from_millis(1_700);
+/// Age of a relay's declaration from which an entry follows the store itself, as
+/// a part of the time in which a new one must be in force.
+///
+/// The rest is for the next question to the relay and a call to the store.
+const AGE_PART: f64 = 0.62;
 
 /// Age of a relay's backend servers from which it does not tell of them.
 const MAX_SILENT: Duration = Duration::from_millis(3_200);
@@ -90,6 +93,8 @@
     state: Mutex<State>,
     /// Wakes the feed of the declaration when there is a newer one.
     newer: Notify,
+    /// Wakes the feeds when an answer of the relay ends that it is believed.
+    untold: Notify,
 }
 
 impl Relay {
@@ -136,8 +141,13 @@
 
     /// Waits until no other entry tells the news any more.
     pub async fn wait_untold(&self, entry: &Entry) {
-        while self.is_told(entry.clock.now()) {
-            tokio::time::sleep(SILENCE / 2).await;
+        loop {
+            let untold = self.untold.notified();
+            if !self.is_told(entry.clock.now()) {
+                return;
+            }
+            // A relay that falls silent wakes nobody.
+            let _ = tokio::time::timeout(SILENCE / 2, untold).await;
         }
     }
 
@@ -248,7 +258,8 @@
         return;
     }
     // Without the changes this entry has to read the servers from the store.
-    let was_told = std::mem::replace(&mut state.is_told, news.is_some() && told.age < MAX_AGE);
+    let max_age = entry.settings.load().bounds.config.mul_f64(AGE_PART);
+    let was_told = std::mem::replace(&mut state.is_told, news.is_some() && told.age < max_age);
     state.told = Some(now);
     let is_told = state.is_told;
     if let Some(news) = &news {
@@ -267,6 +278,7 @@
         entry.events.write(line.with_ms("relay_age_ms", told.age));
     }
     if !is_told {
+        entry.relay.untold.notify_waiters();
         return;
     }
     // The relay knew it at the time of its answer, which came after the question.
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -39,6 +39,8 @@
 pub struct Bounds {
     /// Time from SIGTERM to SIGKILL.
     pub grace: Duration,
+    /// Time in which a new configuration must be in force.
+    pub config: Duration,
     /// Time after which a withdrawn key must not be served.
     pub revoke: Duration,
     /// Whether keys are refused when their validity cannot be confirmed.
@@ -62,6 +64,7 @@
     fn default() -> Self {
         Self {
             grace: Duration::from_secs(8),
+            config: Duration::from_secs(2),
             revoke: Duration::from_secs(5),
             fail_closed: true,
             retry_ratio: 0.2,
--- a/src/platform/boot.rs
+++ b/src/platform/boot.rs
@@ -67,6 +67,7 @@
 #[derive(Default, Deserialize)]
 struct WireBounds {
     grace_period_s: Option<f64>,
+    config_ms: Option<f64>,
     revoke_ms: Option<f64>,
     fail_closed: Option<bool>,
     retry_budget_ratio: Option<f64>,
@@ -163,6 +164,7 @@
     let ms = 0.001;
     Ok(Bounds {
         grace: span("grace_period_s", wire.grace_period_s, 1.0, default.grace)?,
+        config: span("config_ms", wire.config_ms, ms, default.config)?,
         revoke: span("revoke_ms", wire.revoke_ms, ms, default.revoke)?,
         fail_closed: wire.fail_closed.unwrap_or(default.fail_closed),
         retry_ratio: wire.retry_budget_ratio.unwrap_or(default.retry_ratio),
--- a/tests/entry/relay.rs
+++ b/tests/entry/relay.rs
@@ -121,6 +121,37 @@
     assert!(!entry.relay.is_told(entry.clock.now()));
 }
 
+/// A declaration that is accepted just after the relay has lost the store is in
+/// force in time: the age of the relay, a question and a call to the store.
+#[tokio::test(start_paused = true)]
+async fn a_relay_that_has_lost_the_store_does_not_hold_a_declaration_back() {
+    let entry = follower();
+    let config = entry.settings.load().bounds.config;
+    let (_, ask) = relay::ask(&entry).unwrap();
+    relay::take(&entry, told(&ask, 5, false));
+    let mut lost = Duration::ZERO;
+    let began = entry.clock.now();
+    let waiting = tokio::spawn({
+        let entry = Arc::clone(&entry);
+        async move {
+            entry.relay.wait_newer(&entry).await;
+            entry.clock.now()
+        }
+    });
+    while !waiting.is_finished() {
+        tokio::time::sleep(relay::ASK_STEP).await;
+        lost += relay::ASK_STEP;
+        if let Some((_, ask)) = relay::ask(&entry) {
+            let mut old = told(&ask, ask.revision, false);
+            old.age = lost;
+            relay::take(&entry, old);
+        }
+        tokio::task::yield_now().await;
+    }
+    let took = waiting.await.unwrap().since(began);
+    assert!(took + Duration::from_millis(300) <= config, "{took:?}");
+}
+
 /// What such a relay tells is true all the same, and the store is asked only for
 /// what came after it.
 #[tokio::test(start_paused = true)]
