Give every soak addresses of its own

Change: addresses come from the process and a count, and the folder of the lines names the process. Seeds and checks are as they were. A world ends its nodes when it goes, so the separate stop is gone.

--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -3,7 +3,7 @@
 //!
 //! `CASSIALOCK_SOAK=FIRST-LAST` runs other seeds, `CASSIALOCK_SOAK_JOBS` says how
 //! many at a time. The lines of a seed's nodes stay in the folder of the build,
-//! under `tmp/soak-SEED`.
+//! under `tmp/soak-SEED-PROCESS`.
 
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -86,7 +86,6 @@
     }
     let calls = calls.lock().unwrap().clone();
     broken.extend(check::broken(&world, &calls));
-    world.stop();
     let served = calls.iter().filter(|call| call.end == End::Answer(200));
     println!(
         "seed {seed}: {} requests, {} served, {} faults, {} broken",
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -8,6 +8,7 @@
 use std::process::Stdio;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -31,6 +32,9 @@
 /// Nodes of a world.
 const NODES: usize = 5;
 
+/// Worlds of one process that can run at the same time.
+const MAX_WORLDS: usize = 40;
+
 /// Servers of each service.
 const SERVERS: usize = 4;
 
@@ -101,11 +105,20 @@
     _stop: watch::Sender<bool>,
 }
 
+/// Returns loopback addresses that no other world uses: of the stand-ins, and of
+/// each node, whose ports are the same everywhere.
+fn addresses() -> (String, Vec<String>) {
+    static WORLDS: AtomicUsize = AtomicUsize::new(0);
+    let first = WORLDS.fetch_add(1, Ordering::Relaxed) % MAX_WORLDS * (NODES + 1) + 1;
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let ip = |at| format!("127.{}.{low}.{}", high.max(1), first + at);
+    (ip(0), (1..=NODES).map(ip).collect())
+}
+
 impl World {
     /// Starts the stand-ins and the nodes.
     pub async fn start(seed: u64) -> Arc<Self> {
-        let net = format!("127.{}.{}", 100 + seed % 100, seed / 100 % 250);
-        let host = format!("{net}.1");
+        let (host, ips) = addresses();
         let store = Store::new(seed);
         let listener = TcpListener::bind(format!("{host}:0")).await.unwrap();
         let address = listener.local_addr().unwrap();
@@ -114,8 +127,8 @@
         let (stop, stopped) = watch::channel(false);
         tokio::spawn(web::serve(listener, handler, stopped));
         let mut nodes = Vec::new();
-        for at in 0..NODES {
-            nodes.push(Node::prepare(seed, at, &format!("{net}.{}", 10 + at), address).await);
+        for (at, ip) in ips.iter().enumerate() {
+            nodes.push(Node::prepare(seed, at, ip, address).await);
         }
         let world = Arc::new(Self {
             store,
@@ -180,20 +193,14 @@
         });
         self.store.set("config", "main", spec);
     }
-
-    /// Stops every node.
-    pub fn stop(&self) {
-        for node in &self.nodes {
-            node.kill();
-        }
-    }
 }
 
 impl Node {
     async fn prepare(seed: u64, at: usize, ip: &str, store: SocketAddr) -> Self {
         let (own, store) = (format!("{ip}:0"), store.to_string());
         let link = proxy::start(&own, &own, &store).await.unwrap();
-        let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
+        let name = format!("soak-{seed}-{}", std::process::id());
+        let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
         std::fs::create_dir_all(&dir).unwrap();
         let settings = dir.join(format!("node-{at}.toml"));
         let front = format!("{ip}:8221").parse().unwrap();
