Use what the project had; take out what nothing uses

Cause, found by reading the whole change again: - src/entry used the codec and the count of open work out of src/node, which it has nothing to do with otherwise. - The settings file had a fault type of its own, the same as core::config::check's. - Bucket::with_level, Bucket::reshape, Pool::close, is_fresh, two getters of the catalog and five decoded fields were used by nothing. - The daemon polled once a second whether its entry had failed; it can wait for it. - The exposure of a trial was fixed at the start though other bounds are reloaded: a fix one level too deep. It is read from the settings in force. - The planner's question whether a domain is dry also wrote to it, and was asked twice a round. The duties are split into lease, servers and usage. Runs of the quota's tests have a constructor.

--- a/src/bin/cassialockd.rs
+++ b/src/bin/cassialockd.rs
@@ -28,9 +28,6 @@
 /// Time between two looks at whether the settings file has changed.
 const RELOAD_STEP: Duration = Duration::from_secs(2);
 
-/// Time between two looks at whether the entry has ended by itself.
-const FAILED_STEP: Duration = Duration::from_secs(1);
-
 /// Flags of `cassialockd`; `settings::SETTINGS` says what each does.
 #[derive(Debug, Options)]
 struct Flags {
@@ -199,15 +196,18 @@
     let mut int = signal(SignalKind::interrupt()).map_err(signalled)?;
     let hangup = signal(SignalKind::hangup()).map_err(signalled)?;
     let (stop, stopped) = watch::channel(false);
-    let running = tokio::spawn(entry::run(Arc::clone(&entry), stopped));
+    let mut running = tokio::spawn(entry::run(Arc::clone(&entry), stopped));
     let reloading = tokio::spawn(reload(Arc::clone(&entry), path.to_path_buf(), hangup));
-    tokio::select! {
-        _ = term.recv() => {}
-        _ = int.recv() => {}
-        () = failed(&running) => {}
-    }
+    let failed = tokio::select! {
+        _ = term.recv() => None,
+        _ = int.recv() => None,
+        ended = &mut running => Some(ended),
+    };
     stop.send_replace(true);
-    let ended = running.await;
+    let ended = match failed {
+        Some(ended) => ended,
+        None => running.await,
+    };
     reloading.abort();
     entry.events.flush().await;
     match ended {
@@ -216,13 +216,6 @@
     }
 }
 
-/// Waits until the entry has ended by itself.
-async fn failed<T>(running: &tokio::task::JoinHandle<T>) {
-    while !running.is_finished() {
-        tokio::time::sleep(FAILED_STEP).await;
-    }
-}
-
 /// Reads the settings again at SIGHUP, and when the file has changed without one.
 async fn reload(entry: Arc<Entry>, path: PathBuf, mut hangup: Signal) {
     let modified = |path: &Path| {
--- a/src/cli/client.rs
+++ b/src/cli/client.rs
@@ -86,7 +86,7 @@
     };
     let mut text = refusal.error.message;
     for fault in &refusal.faults {
-        text.push_str(&format!("\n  {}: {}", fault.path, fault.problem));
+        text.push_str(&format!("\n  {fault}"));
     }
     if !refusal.clashes.is_empty() {
         text.push_str("\n  changed since then, and by this patch too:");
--- a/src/core/catalog.rs
+++ b/src/core/catalog.rs
@@ -100,25 +100,12 @@
 /// One service.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Service {
-    /// Path that answers with 200 while a server is healthy.
-    pub health_path: Name,
-    /// Connections that one server accepts from all callers.
-    pub max_connections: u32,
-    /// The engine, if the servers run models.
-    pub engine: Option<Engine>,
+    /// Requests that one server runs at the same time, if it runs models.
+    pub slots: Option<u32>,
     /// How many servers may be ordered, if the operator lets the system decide.
     pub scale: Option<Scale>,
 }
 
-/// What the servers of a model service can hold.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Engine {
-    /// Requests that run at the same time.
-    pub slots: u32,
-    /// Tokens that fit into the memory of running requests and cached parts.
-    pub memory_tokens: u64,
-}
-
 /// Bounds and prices of the servers of a service in one failure domain.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Scale {
@@ -142,8 +129,6 @@
     pub head_bytes: usize,
     /// Largest body of a request, in bytes.
     pub body_bytes: usize,
-    /// Longest time for a head to arrive.
-    pub head_time: Duration,
     /// Longest time for which a connection may be idle.
     pub idle_time: Duration,
 }
@@ -153,7 +138,6 @@
         Self {
             head_bytes: 16 * 1024,
             body_bytes: 4 * 1024 * 1024,
-            head_time: Duration::from_secs(3),
             idle_time: Duration::from_secs(15),
         }
     }
@@ -240,16 +224,6 @@
         !self.workspaces.is_empty()
     }
 
-    /// Returns all workspaces.
-    pub fn workspaces(&self) -> &[Workspace] {
-        &self.workspaces
-    }
-
-    /// Returns all routes.
-    pub fn routes(&self) -> &[Route] {
-        &self.routes
-    }
-
     /// Returns the workspace that holds `key`.
     pub fn workspace_of(&self, key: &str) -> Option<&Workspace> {
         let at = self.keys.binary_search_by(|row| (*row.0).cmp(key)).ok()?;
--- a/src/core/config/check.rs
+++ b/src/core/config/check.rs
@@ -7,7 +7,7 @@
 use crate::core::config::Config;
 use crate::core::config::Kind;
 
-/// One fault in a configuration document.
+/// One fault in a document: a configuration or a settings file.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Fault {
     /// Where the fault is, for instance `services.dosel-llm.slots`.
@@ -17,14 +17,21 @@
 }
 
 impl Fault {
-    fn new(path: String, problem: impl Into<String>) -> Self {
+    /// Creates a fault at a place in a document.
+    pub fn new(path: impl Into<String>, problem: impl Into<String>) -> Self {
         Self {
-            path,
+            path: path.into(),
             problem: problem.into(),
         }
     }
 }
 
+impl std::fmt::Display for Fault {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}: {}", self.path, self.problem)
+    }
+}
+
 /// Parses and checks a whole document.
 ///
 /// # Errors
--- a/src/core/fleet/orders.rs
+++ b/src/core/fleet/orders.rs
@@ -138,6 +138,7 @@
         if is_first && now.since(since) < FIRST_LOOK {
             return Vec::new();
         }
+        self.note_notices(stocks, now);
         let needed = self.provided(need, stocks);
         let has_reclaimable = scale.reclaimable_price.is_some();
         let target = if has_reclaimable {
@@ -147,7 +148,7 @@
         };
         let target = target.clamp(scale.min.max(1), scale.max);
         let on_demand = if has_reclaimable {
-            let is_lost = stocks.iter().any(|stock| self.is_dry(stock, now));
+            let is_lost = self.rows.iter().any(|row| row.dry_until > now);
             on_demand_counts(scale, stocks, shortage(needed, stocks, is_lost))
         } else {
             vec![target; stocks.len()]
@@ -157,7 +158,7 @@
             let wanted = wanted.max(scale.min.saturating_sub(stock.reclaimable));
             // The bounds hold for both classes together.
             let taken = stock.on_demand.max(wanted);
-            if has_reclaimable && !self.is_dry(stock, now) {
+            if has_reclaimable && self.row(&stock.domain).dry_until <= now {
                 let count = target.min(scale.max.saturating_sub(taken));
                 self.push(&mut orders, scale, stock, Class::Reclaimable, count, now);
             }
@@ -184,14 +185,14 @@
         need.servers.max(kept.ceil() as u32)
     }
 
-    /// Returns whether no reclaimable servers are to be had in a domain.
-    fn is_dry(&mut self, stock: &Stock, now: Time) -> bool {
-        let row = self.row(&stock.domain);
-        if stock.noticed > 0 {
+    /// Records that no reclaimable servers are to be had where some are under
+    /// notice.
+    fn note_notices(&mut self, stocks: &[Stock], now: Time) {
+        for stock in stocks.iter().filter(|stock| stock.noticed > 0) {
+            let row = self.row(&stock.domain);
             row.dry_until = row.dry_until.max(now + REFUSED_REST);
             row.reclaimable.count = None;
         }
-        row.dry_until > now
     }
 
     /// Returns the servers on demand to order, which fall only after a while.
--- a/src/core/limit/bucket.rs
+++ b/src/core/limit/bucket.rs
@@ -29,22 +29,6 @@
         }
     }
 
-    /// Sets what is in the bucket, up to its size.
-    #[must_use]
-    pub fn with_level(mut self, level: f64) -> Self {
-        // INVARIANT: bounded by the size of the bucket.
-        self.level = level.min(self.rate * self.burst_s);
-        self
-    }
-
-    /// Changes the rate and the burst; what is in the bucket stays, up to the
-    /// new size.
-    pub fn reshape(&mut self, rate: f64, burst: Duration, now: Time) {
-        self.refill(now);
-        self.burst_s = burst.as_secs_f64();
-        self.set_rate(rate, now);
-    }
-
     /// Changes the rate; what is in the bucket stays, up to the new size.
     pub fn set_rate(&mut self, rate: f64, now: Time) {
         self.refill(now);
--- a/src/entry/beats.rs
+++ b/src/entry/beats.rs
@@ -25,7 +25,7 @@
 use crate::entry::Entry;
 use crate::entry::relay;
 use crate::error::Error;
-use crate::node::peers::frame;
+use crate::frame;
 use crate::telemetry::events::Line;
 
 /// Time between two heartbeats.
--- a/src/entry/call/mod.rs
+++ b/src/entry/call/mod.rs
@@ -30,12 +30,13 @@
 use crate::entry::Entry;
 use crate::entry::backends::Chosen;
 use crate::entry::backends::Want;
+use crate::entry::moves::Moves;
 use crate::telemetry::events::Line;
 use crate::web;
 use crate::web::Body;
 
 pub mod attempt;
-pub mod relay;
+pub mod transfer;
 
 /// Wait after which a caller is told to come back when a node is at fault.
 const SHORT_RETRY: Duration = Duration::from_millis(150);
@@ -305,10 +306,7 @@
     fn choose(&self) -> Option<Chosen> {
         let now = self.entry.clock.now();
         let versions = self.entry.backends.versions(&self.service);
-        let preferred = self
-            .entry
-            .moves
-            .prefer(&self.service, &versions, self.draw, now);
+        let preferred = Moves::prefer(&self.entry, &self.service, &versions, self.draw, now);
         let want = Want {
             service: &self.service,
             version: preferred.version.as_deref(),
--- a/src/entry/call/relay.rs
+++ b/src/entry/call/transfer.rs
@@ -64,7 +64,7 @@
 }
 
 /// Passes a response on, and goes on at another server where that is possible.
-struct Relay {
+struct Transfer {
     call: Call,
     live: Option<Live>,
     splitter: Splitter,
@@ -76,7 +76,7 @@
     resumes: u32,
 }
 
-/// What the relay has for the caller.
+/// What a transfer has for the caller.
 enum Next {
     Data(Bytes),
     End,
@@ -95,9 +95,8 @@
         if !is_stream && length.is_none_or(|length| length <= WHOLE_BYTES) {
             return self.respond_whole(sent).await;
         }
-        let (relay, mut head) = Relay::new(self, sent);
-        let first = relay.first().await?;
-        first.call_headers(&mut head);
+        let (transfer, head) = Transfer::new(self, sent);
+        let first = transfer.first().await?;
         Ok(first.into_response(head))
     }
 
@@ -156,10 +155,10 @@
     }
 }
 
-impl Relay {
+impl Transfer {
     fn new(call: Call, sent: Sent) -> (Self, response::Parts) {
         let (live, head) = Live::new(sent);
-        let relay = Self {
+        let transfer = Self {
             call,
             live: Some(live),
             splitter: Splitter::new(),
@@ -168,18 +167,18 @@
             bytes: 0,
             resumes: 0,
         };
-        (relay, head)
+        (transfer, head)
     }
 
     /// Waits for the first bytes, so that a failure before them can be answered.
     async fn first(mut self) -> Result<First, (Cause, Box<Call>)> {
         match self.next().await {
             Next::Data(data) => Ok(First {
-                relay: self,
+                transfer: self,
                 data: Some(data),
             }),
             Next::End => Ok(First {
-                relay: self,
+                transfer: self,
                 data: None,
             }),
             Next::Broken(cause) => Err((cause, Box::new(self.call))),
@@ -334,37 +333,37 @@
     }
 }
 
-/// A relay whose first bytes have arrived.
+/// A transfer whose first bytes have arrived.
 struct First {
-    relay: Relay,
+    transfer: Transfer,
     data: Option<Bytes>,
 }
 
 impl First {
-    fn call_headers(&self, head: &mut response::Parts) {
-        let dialect = &self.relay.call.entry.outside.dialect;
-        dialect.strip_reply(&mut head.headers);
-    }
-
-    fn into_response(self, head: response::Parts) -> Response<Body> {
-        let open = self.relay.call.entry.open.guard();
-        let Self { relay, data } = self;
-        let frames = unfold((Some(relay), data, open), |(relay, data, open)| async {
-            let mut relay = relay?;
-            if let Some(data) = data {
-                return Some((Ok(Frame::data(data)), (Some(relay), None, open)));
-            }
-            match relay.next().await {
-                Next::Data(data) => Some((Ok(Frame::data(data)), (Some(relay), None, open))),
-                Next::End => None,
-                Next::Broken(cause) => {
-                    relay.note_broken(cause);
-                    // The connection is cut, so the answer cannot look whole.
-                    let e = io::Error::other(cause.as_str());
-                    Some((Err(e), (None, None, open)))
+    fn into_response(self, mut head: response::Parts) -> Response<Body> {
+        let Self { transfer, data } = self;
+        let entry = &transfer.call.entry;
+        entry.outside.dialect.strip_reply(&mut head.headers);
+        let open = entry.open.guard();
+        let frames = unfold(
+            (Some(transfer), data, open),
+            |(transfer, data, open)| async {
+                let mut transfer = transfer?;
+                if let Some(data) = data {
+                    return Some((Ok(Frame::data(data)), (Some(transfer), None, open)));
                 }
-            }
-        });
+                match transfer.next().await {
+                    Next::Data(data) => Some((Ok(Frame::data(data)), (Some(transfer), None, open))),
+                    Next::End => None,
+                    Next::Broken(cause) => {
+                        transfer.note_broken(cause);
+                        // The connection is cut, so the answer cannot look whole.
+                        let e = io::Error::other(cause.as_str());
+                        Some((Err(e), (None, None, open)))
+                    }
+                }
+            },
+        );
         Response::from_parts(head, StreamBody::new(frames).boxed_unsync())
     }
 }
--- a/src/entry/duties.rs
+++ b/src/entry/duties/mod.rs
@@ -3,13 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures_util::future;
 use serde_json::Value;
 
 use crate::core::Name;
 use crate::core::config::Fencing;
-use crate::core::fleet::load::Need;
-use crate::core::fleet::orders::Order;
 use crate::core::fleet::orders::Planner;
 use crate::core::lease;
 use crate::core::lease::Duty;
@@ -17,12 +14,11 @@
 use crate::core::lease::Step;
 use crate::core::lease::Terms;
 use crate::core::peer::Phase;
-use crate::core::route::servers::Class;
 use crate::core::table::Table;
 use crate::core::time::Time;
-use crate::core::usage::Counts;
 use crate::entry::Entry;
 use crate::entry::beats;
+use crate::entry::duties::usage::Claim;
 use crate::entry::outside::CloudReply;
 use crate::entry::outside::Content;
 use crate::entry::outside::Holder;
@@ -30,6 +26,9 @@
 use crate::entry::outside::StoreError;
 use crate::telemetry::events::Line;
 
+mod servers;
+mod usage;
+
 /// Time between two looks at the duties.
 const STEP: Duration = Duration::from_millis(250);
 
@@ -46,15 +45,9 @@
 /// Longest time for which a call may be on its way.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
 
-/// Fence of the first node of a deployment that holds the duties.
-const FIRST_FENCE: u64 = 1;
-
 /// Name of the lease object.
 const LEASE: &str = "duties";
 
-/// Name of the object that holds the usage claimed for a report.
-const CLAIM: &str = "claim";
-
 /// Time between two removals of old registrations.
 const SWEEP: Duration = Duration::from_secs(20);
 
@@ -74,13 +67,6 @@
     reported_at: Time,
 }
 
-/// The usage that is claimed for the report of one window.
-struct Claim {
-    revision: Option<u64>,
-    counts: Option<Counts>,
-    is_sent: bool,
-}
-
 /// Runs the duties until the entry has stopped.
 pub async fn run(entry: Arc<Entry>) {
     let settings = entry.settings.load_full();
@@ -250,140 +236,6 @@
         self.sweep(entry).await;
     }
 
-    /// Orders backend servers where they are not as they should be.
-    async fn order(&mut self, entry: &Entry, holder: &Holder) {
-        let Some(catalog) = entry.catalog.load() else {
-            return;
-        };
-        let domains = entry.settings.load().domains.clone();
-        for (service, declared) in catalog.services.iter() {
-            let Some(scale) = &declared.scale else {
-                continue;
-            };
-            let now = entry.clock.now();
-            let stocks = entry.backends.stocks(service, &domains);
-            let stocks: Vec<_> = stocks
-                .into_iter()
-                .filter(|stock| scale.domain_prices.get(&stock.domain).is_some())
-                .collect();
-            let slots = declared.engine.map_or(1, |engine| engine.slots);
-            let mut need = entry.fleet.needed(service, slots, now);
-            // Nodes that held the duty before may have served callers.
-            need.is_unused &= holder.fence == FIRST_FENCE;
-            let planner = self.planners.get_or_insert_with(service, Planner::new);
-            let orders = planner.orders(scale, &stocks, need, now);
-            if !self.duty.may_order(entry.clock.now()) {
-                orders.iter().for_each(|order| planner.record_lost(order));
-                continue;
-            }
-            // Each is about another domain or class, so none waits for another.
-            let cloud = &entry.outside.cloud;
-            let calls = orders.iter().map(|order| async move {
-                let reply = cloud.order_servers(holder, service, order);
-                (order, limited(reply).await)
-            });
-            for (order, reply) in future::join_all(calls).await {
-                let line = order_line(order, need).with("service", &**service);
-                let line = line.with("fence", holder.fence);
-                entry
-                    .events
-                    .write(line.with("outcome", format!("{reply:?}")));
-                match reply {
-                    CloudReply::Done => {}
-                    CloudReply::Refused if order.class == Class::Reclaimable => {
-                        planner.record_refused(&order.domain, now);
-                    }
-                    CloudReply::Refused => self.duty.record_lost(),
-                    CloudReply::Busy | CloudReply::Lost => planner.record_lost(order),
-                }
-            }
-        }
-    }
-
-    /// Reports the usage of the next window that is over.
-    ///
-    /// The counts are claimed in the store before they are sent, so that a
-    /// window is never reported with two different counts.
-    async fn report(&mut self, entry: &Entry, holder: &Holder) {
-        if self.claim.is_none() && !self.read_claim(entry).await {
-            return;
-        }
-        let Some(claim) = &self.claim else { return };
-        if claim.is_sent || claim.counts.is_none() {
-            let reported = claim.counts.as_ref().map(|counts| counts.window);
-            let Some(counts) = entry.usage.due(entry, reported) else {
-                return;
-            };
-            if !self.write_claim(entry, counts).await {
-                return;
-            }
-        }
-        if !self.duty.may_order(entry.clock.now()) {
-            return;
-        }
-        let Some(claim) = &mut self.claim else { return };
-        let Some(counts) = &claim.counts else { return };
-        let reply = limited(entry.outside.cloud.report_usage(holder, counts)).await;
-        entry.events.write(
-            Line::new("usage_reported")
-                .with("window", counts.window)
-                .with("fence", holder.fence)
-                .with("outcome", format!("{reply:?}")),
-        );
-        match reply {
-            CloudReply::Done => claim.is_sent = true,
-            CloudReply::Refused => {
-                self.claim = None;
-                self.duty.record_lost();
-            }
-            CloudReply::Busy | CloudReply::Lost => {}
-        }
-    }
-
-    async fn read_claim(&mut self, entry: &Entry) -> bool {
-        match entry.outside.store.get(Kind::Usage, CLAIM).await {
-            Ok(object) => {
-                let revision = object.as_ref().map(|object| object.revision);
-                let counts = object.and_then(|object| match object.content {
-                    Content::Record(value) => serde_json::from_value(value).ok(),
-                    _ => None,
-                });
-                self.claim = Some(Claim {
-                    revision,
-                    counts,
-                    is_sent: false,
-                });
-                true
-            }
-            Err(e) => {
-                note_store(entry, "claim_read", &e);
-                false
-            }
-        }
-    }
-
-    async fn write_claim(&mut self, entry: &Entry, counts: Counts) -> bool {
-        let revision = self.claim.as_ref().and_then(|claim| claim.revision);
-        let value = serde_json::to_value(&counts).unwrap_or(Value::Null);
-        let store = &entry.outside.store;
-        match store.write(Kind::Usage, CLAIM, revision, &value).await {
-            Ok(revision) => {
-                self.claim = Some(Claim {
-                    revision: Some(revision),
-                    counts: Some(counts),
-                    is_sent: false,
-                });
-                true
-            }
-            Err(e) => {
-                note_store(entry, "claim_write", &e);
-                // What is there now is read before anything else is sent.
-                self.claim = None;
-                false
-            }
-        }
-    }
-
     /// Reports how version moves ended.
     async fn end_moves(&mut self, entry: &Entry) {
         let now = entry.clock.now();
@@ -429,16 +281,6 @@
     }
 }
 
-/// Returns the line that says what is ordered and why.
-fn order_line(order: &Order, need: Need) -> Line {
-    Line::new("servers_ordered")
-        .with("domain", &*order.domain)
-        .with("reclaimable", order.class == Class::Reclaimable)
-        .with("count", order.count)
-        .with("needed", need.servers)
-        .with("is_learned", need.is_learned)
-}
-
 /// Bounds the time of a call; one that takes longer may still be carried out.
 async fn limited(call: impl Future<Output = CloudReply>) -> CloudReply {
     tokio::time::timeout(CALL_TIMEOUT, call)
--- a/src/entry/feeds/backends.rs
+++ b/src/entry/feeds/backends.rs
@@ -15,7 +15,6 @@
 use crate::entry::outside::Content;
 use crate::entry::outside::Kind;
 use crate::entry::outside::Object;
-use crate::entry::outside::StoreError;
 
 /// Time for which a watch of backend servers waits.
 const BACKENDS_WAIT: Duration = Duration::from_secs(2);
@@ -49,12 +48,7 @@
         GATHER
     }
 
-    fn replace<'a>(
-        &'a mut self,
-        entry: &'a Entry,
-        revision: u64,
-        objects: Vec<Object>,
-    ) -> BoxFuture<'a, Result<(), StoreError>> {
+    fn replace(&mut self, entry: &Entry, revision: u64, objects: Vec<Object>) {
         let mut list = Vec::with_capacity(objects.len());
         for object in objects {
             match object.content {
@@ -68,15 +62,9 @@
         entry.relay.record_list(revision);
         let lines = entry.backends.replace(list, entry.clock.now());
         lines.into_iter().for_each(|line| entry.events.write(line));
-        Box::pin(std::future::ready(Ok(())))
     }
 
-    fn change<'a>(
-        &'a mut self,
-        entry: &'a Entry,
-        revision: u64,
-        changes: Vec<Change>,
-    ) -> BoxFuture<'a, Result<(), StoreError>> {
+    fn change(&mut self, entry: &Entry, revision: u64, changes: Vec<Change>) {
         let mut list = Vec::with_capacity(changes.len());
         for change in changes {
             let name = change.object.name;
@@ -93,12 +81,11 @@
         }
         if revision <= entry.relay.revision() && !list.is_empty() {
             // Another entry has told these changes before.
-            return Box::pin(std::future::ready(Ok(())));
+            return;
         }
         entry.relay.record_changes(revision, &list);
         let lines = entry.backends.change(list, entry.clock.now());
         lines.into_iter().for_each(|line| entry.events.write(line));
-        Box::pin(std::future::ready(Ok(())))
     }
 
     fn confirm(&mut self, entry: &Entry, time: Time) {
--- a/src/entry/feeds/catalog.rs
+++ b/src/entry/feeds/catalog.rs
@@ -14,7 +14,6 @@
 use crate::entry::outside::Content;
 use crate::entry::outside::Kind;
 use crate::entry::outside::Object;
-use crate::entry::outside::StoreError;
 use crate::telemetry::events::Line;
 
 /// Part of the time to revoke a key for which a watch of the declaration waits.
@@ -65,28 +64,16 @@
         entry.settings.load().bounds.revoke.mul_f64(CONFIRM_PART)
     }
 
-    fn replace<'a>(
-        &'a mut self,
-        entry: &'a Entry,
-        _revision: u64,
-        objects: Vec<Object>,
-    ) -> BoxFuture<'a, Result<(), StoreError>> {
+    fn replace(&mut self, entry: &Entry, _revision: u64, objects: Vec<Object>) {
         for object in objects {
             Self::take(entry, object);
         }
-        Box::pin(std::future::ready(Ok(())))
     }
 
-    fn change<'a>(
-        &'a mut self,
-        entry: &'a Entry,
-        _revision: u64,
-        changes: Vec<Change>,
-    ) -> BoxFuture<'a, Result<(), StoreError>> {
+    fn change(&mut self, entry: &Entry, _revision: u64, changes: Vec<Change>) {
         for change in changes.into_iter().filter(|change| !change.is_removed) {
             Self::take(entry, change.object);
         }
-        Box::pin(std::future::ready(Ok(())))
     }
 
     fn confirm(&mut self, entry: &Entry, time: Time) {
--- a/src/entry/feeds/mod.rs
+++ b/src/entry/feeds/mod.rs
@@ -71,20 +71,15 @@
     }
 
     /// Takes over all objects, as they were at `revision`.
-    fn replace<'a>(
-        &'a mut self,
-        entry: &'a Entry,
-        revision: u64,
-        objects: Vec<Object>,
-    ) -> BoxFuture<'a, Result<(), StoreError>>;
+    fn replace(&mut self, entry: &Entry, revision: u64, objects: Vec<Object>);
 
     /// Takes over all changes up to `revision`.
-    fn change<'a>(
-        &'a mut self,
-        entry: &'a Entry,
-        revision: u64,
-        changes: Vec<Change>,
-    ) -> BoxFuture<'a, Result<(), StoreError>>;
+    fn change(&mut self, entry: &Entry, revision: u64, changes: Vec<Change>);
+
+    /// Writes to the store what follows from the objects taken over.
+    fn settle<'a>(&'a mut self, _entry: &'a Entry) -> BoxFuture<'a, Result<(), StoreError>> {
+        Box::pin(std::future::ready(Ok(())))
+    }
 
     /// Records that everything taken over was the newest at `time`.
     fn confirm(&mut self, _entry: &Entry, _time: Time) {}
@@ -147,7 +142,8 @@
         let Some(revision) = self.revision else {
             let listing = entry.outside.store.list(feed.kind()).await?;
             let Listing { revision, objects } = listing;
-            feed.replace(entry, revision, objects).await?;
+            feed.replace(entry, revision, objects);
+            feed.settle(entry).await?;
             feed.confirm(entry, sent);
             self.revision = Some(revision);
             return Ok(Step::Answered);
@@ -168,7 +164,8 @@
         match watched {
             Ok(Watched::Changes(revision, changes)) => {
                 let is_empty = changes.is_empty();
-                feed.change(entry, revision, changes).await?;
+                feed.change(entry, revision, changes);
+                feed.settle(entry).await?;
                 self.revision = Some(revision);
                 let waited = entry.clock.now().since(sent);
                 let known = if is_empty && waited >= wait {
--- a/src/entry/feeds/moves.rs
+++ b/src/entry/feeds/moves.rs
@@ -3,8 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures_util::future::BoxFuture;
-
 use crate::core::Name;
 use crate::entry::Entry;
 use crate::entry::feeds;
@@ -13,7 +11,6 @@
 use crate::entry::outside::Content;
 use crate::entry::outside::Kind;
 use crate::entry::outside::Object;
-use crate::entry::outside::StoreError;
 
 struct MovesFeed {
     known: Vec<Name>,
@@ -54,12 +51,7 @@
         feeds::SELDOM_WAIT
     }
 
-    fn replace<'a>(
-        &'a mut self,
-        entry: &'a Entry,
-        _revision: u64,
-        objects: Vec<Object>,
-    ) -> BoxFuture<'a, Result<(), StoreError>> {
+    fn replace(&mut self, entry: &Entry, _revision: u64, objects: Vec<Object>) {
         let names: Vec<Name> = objects.iter().map(|object| object.name.clone()).collect();
         for service in self.known.clone() {
             if !names.contains(&service) {
@@ -69,15 +61,9 @@
         for object in objects {
             self.take(entry, object);
         }
-        Box::pin(std::future::ready(Ok(())))
     }
 
-    fn change<'a>(
-        &'a mut self,
-        entry: &'a Entry,
-        _revision: u64,
-        changes: Vec<Change>,
-    ) -> BoxFuture<'a, Result<(), StoreError>> {
+    fn change(&mut self, entry: &Entry, _revision: u64, changes: Vec<Change>) {
         for change in changes {
             if change.is_removed {
                 self.withdraw(entry, &change.object.name);
@@ -85,7 +71,6 @@
                 self.take(entry, change.object);
             }
         }
-        Box::pin(std::future::ready(Ok(())))
     }
 }
 
--- a/src/entry/feeds/nodes.rs
+++ b/src/entry/feeds/nodes.rs
@@ -29,6 +29,9 @@
 /// Follows the registrations of entries, and keeps the own one there.
 struct NodesFeed {
     own: Member,
+    /// Set while the own registration is missing, to the revision of what is
+    /// there in its place.
+    missing: Option<Option<u64>>,
 }
 
 impl NodesFeed {
@@ -81,59 +84,48 @@
         }
     }
 
-    fn replace<'a>(
-        &'a mut self,
-        entry: &'a Entry,
-        _revision: u64,
-        objects: Vec<Object>,
-    ) -> BoxFuture<'a, Result<(), StoreError>> {
-        Box::pin(async move {
-            let node = entry.settings.load().node.clone();
-            let now = entry.clock.now();
-            for name in entry.beats.members() {
-                if !objects.iter().any(|object| object.name == name) {
-                    entry.beats.set_member(&name, None, now);
-                }
-            }
-            let mut over = None;
-            let mut own = None;
-            for object in objects {
-                if object.name == node {
-                    over = Some(object.revision);
-                }
-                own = self.take(entry, object).or(own);
+    fn replace(&mut self, entry: &Entry, _revision: u64, objects: Vec<Object>) {
+        let node = entry.settings.load().node.clone();
+        let now = entry.clock.now();
+        for name in entry.beats.members() {
+            if !objects.iter().any(|object| object.name == name) {
+                entry.beats.set_member(&name, None, now);
             }
-            // Quotas depend on how many nodes there are.
-            limits::refresh(entry);
-            match own {
-                Some(revision) => {
-                    entry.beats.set_incarnation(revision);
-                    Ok(())
-                }
-                None => self.register(entry, over).await,
+        }
+        let own = objects.iter().find(|object| object.name == node);
+        self.missing = Some(own.map(|object| object.revision));
+        for object in objects {
+            if let Some(revision) = self.take(entry, object) {
+                entry.beats.set_incarnation(revision);
+                self.missing = None;
             }
-        })
+        }
+        // Quotas depend on how many nodes there are.
+        limits::refresh(entry);
     }
 
-    fn change<'a>(
-        &'a mut self,
-        entry: &'a Entry,
-        _revision: u64,
-        changes: Vec<Change>,
-    ) -> BoxFuture<'a, Result<(), StoreError>> {
-        Box::pin(async move {
-            let node = entry.settings.load().node.clone();
-            let now = entry.clock.now();
-            for change in changes {
-                if !change.is_removed {
-                    self.take(entry, change.object);
-                    continue;
-                }
-                entry.beats.set_member(&change.object.name, None, now);
-                if change.object.name == node {
-                    self.register(entry, None).await?;
-                }
+    fn change(&mut self, entry: &Entry, _revision: u64, changes: Vec<Change>) {
+        let node = entry.settings.load().node.clone();
+        let now = entry.clock.now();
+        for change in changes {
+            if !change.is_removed {
+                self.take(entry, change.object);
+                continue;
+            }
+            entry.beats.set_member(&change.object.name, None, now);
+            if change.object.name == node {
+                self.missing = Some(None);
             }
+        }
+    }
+
+    fn settle<'a>(&'a mut self, entry: &'a Entry) -> BoxFuture<'a, Result<(), StoreError>> {
+        Box::pin(async {
+            let Some(over) = self.missing else {
+                return Ok(());
+            };
+            self.register(entry, over).await?;
+            self.missing = None;
             Ok(())
         })
     }
@@ -149,5 +141,5 @@
         domain: settings.domain.clone(),
         started: entry.clock.now().0,
     };
-    feeds::follow(entry, Box::new(NodesFeed { own }), "nodes").await;
+    feeds::follow(entry, Box::new(NodesFeed { own, missing: None }), "nodes").await;
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -32,11 +32,11 @@
 use crate::entry::settings::Settings;
 use crate::entry::usage::Usage;
 use crate::error::Error;
-use crate::node::work::OpenWork;
 use crate::telemetry;
 use crate::telemetry::events::Events;
 use crate::telemetry::events::Line;
 use crate::web::pool::Pool;
+use crate::work::OpenWork;
 
 pub mod backends;
 pub mod beats;
@@ -122,7 +122,7 @@
             relay: Relay::new(),
             usage: Usage::new(settings.bounds.window),
             fleet: Fleet::new(),
-            moves: Moves::new().with_exposure(settings.bounds.expose_part),
+            moves: Moves::new(),
             settings: arc_swap::ArcSwap::from_pointee(settings),
             clock,
             outside,
--- a/src/entry/moves.rs
+++ b/src/entry/moves.rs
@@ -20,7 +20,6 @@
 #[derive(Default)]
 pub struct Moves {
     rows: Mutex<Table<Canary>>,
-    exposure: f64,
 }
 
 /// The version that a request should go to.
@@ -33,19 +32,11 @@
 }
 
 impl Moves {
-    /// Creates a record without moves, whose new versions get no traffic
-    /// before they have all of it.
+    /// Creates a record without moves.
     pub fn new() -> Self {
         Self::default()
     }
 
-    /// Lets an untested version get at most the part `exposure` of the
-    /// requests of its service.
-    pub fn with_exposure(mut self, exposure: f64) -> Self {
-        self.exposure = exposure;
-        self
-    }
-
     /// Takes over a declared move; `None` means that it was withdrawn.
     pub fn set(&self, service: &Name, declared: Option<Declared>, now: Time) -> Option<Line> {
         let mut rows = self.rows.lock().unwrap();
@@ -81,9 +72,15 @@
 
     /// Returns which version a request to `service` should go to.
     ///
-    /// `versions` are those that servers of the service have.
-    pub fn prefer(&self, service: &str, versions: &[Name], draw: u64, now: Time) -> Preference {
-        let rows = self.rows.lock().unwrap();
+    /// `versions` are those that servers of the service have, `draw` is random.
+    pub fn prefer(
+        entry: &Entry,
+        service: &str,
+        versions: &[Name],
+        draw: u64,
+        now: Time,
+    ) -> Preference {
+        let rows = entry.moves.rows.lock().unwrap();
         let Some(canary) = rows.get(service) else {
             return Preference::default();
         };
@@ -93,7 +90,7 @@
             return Preference::default();
         };
         let stage = canary.stage(now);
-        if canary::is_new(stage, draw, self.exposure) {
+        if canary::is_new(stage, draw, entry.settings.load().bounds.expose_part) {
             Preference {
                 version: Some(canary.target.clone()),
                 is_single: stage == Stage::Trial,
--- a/src/entry/outside.rs
+++ b/src/entry/outside.rs
@@ -131,8 +131,6 @@
     pub is_leaving: bool,
     /// Whether the platform may take it back.
     pub class: Class,
-    /// Time that is left until it goes, if it is known.
-    pub leaves_in: Option<Duration>,
 }
 
 /// A version move that an operator asks for.
--- a/src/load/slopes.rs
+++ b/src/load/slopes.rs
@@ -34,13 +34,13 @@
 use crate::core::route::servers::Servers;
 use crate::core::route::servers::Vm;
 use crate::core::time::Time;
+use crate::frame;
 use crate::load::fit::Fit;
 use crate::load::run;
 use crate::node::peers::Answer;
 use crate::node::peers::Call;
 use crate::node::peers::Heartbeat;
 use crate::node::peers::PartText;
-use crate::node::peers::frame;
 
 /// Bytes that one call and its answer take besides their frames: headers of
 /// `h2`, TCP and IP.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -39,10 +39,10 @@
 use crate::node::store::Platform;
 use crate::node::streams::Streams;
 use crate::node::vms::VmList;
-use crate::node::work::OpenWork;
 use crate::telemetry;
 use crate::web;
 use crate::web::client::Client;
+use crate::work::OpenWork;
 
 pub mod admission;
 pub mod backends;
@@ -60,7 +60,6 @@
 pub mod store;
 pub mod streams;
 pub mod vms;
-pub mod work;
 
 /// Time before a reclaim at which a node must have stopped.
 const RECLAIM_MARGIN: Duration = Duration::from_secs(1);
--- a/src/node/peers/client.rs
+++ b/src/node/peers/client.rs
@@ -11,9 +11,9 @@
 
 use crate::core::Name;
 use crate::core::table::Table;
+use crate::frame;
 use crate::node::peers::Answer;
 use crate::node::peers::Call;
-use crate::node::peers::frame;
 
 /// Time in which a call must be answered.
 pub const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
--- a/src/node/peers/mod.rs
+++ b/src/node/peers/mod.rs
@@ -16,7 +16,6 @@
 use crate::core::time::Time;
 
 pub mod client;
-pub mod frame;
 pub mod server;
 
 /// A call from one node to another.
--- a/src/node/peers/server.rs
+++ b/src/node/peers/server.rs
@@ -10,12 +10,12 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
+use crate::frame;
 use crate::node::Node;
 use crate::node::members;
 use crate::node::peers::Answer;
 use crate::node::peers::Call;
 use crate::node::peers::client;
-use crate::node::peers::frame;
 use crate::web;
 
 /// Serves calls from other nodes until `stop` becomes true.
--- a/src/platform/boot.rs
+++ b/src/platform/boot.rs
@@ -1,6 +1,5 @@
 //! The platform's settings file.
 
-use std::fmt;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -8,6 +7,7 @@
 use serde::Deserialize;
 
 use crate::core::Name;
+use crate::core::config::check::Fault;
 use crate::core::table::Table;
 use crate::entry::settings::Bounds;
 use crate::entry::settings::Settings;
@@ -18,21 +18,6 @@
 /// Port of the metrics, as the deploy file names it.
 pub const METRICS_PORT: u16 = 9_464;
 
-/// Why the settings cannot be used.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Fault {
-    /// The field, or the file.
-    pub place: String,
-    /// What is wrong, in one clause.
-    pub problem: String,
-}
-
-impl fmt::Display for Fault {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}: {}", self.place, self.problem)
-    }
-}
-
 #[derive(Deserialize)]
 struct WireSettings {
     node: String,
@@ -97,10 +82,8 @@
 ///
 /// Returns the first field that cannot be used.
 pub fn read(path: &std::path::Path) -> Result<Settings, Fault> {
-    let text = std::fs::read_to_string(path).map_err(|e| Fault {
-        place: path.display().to_string(),
-        problem: e.to_string(),
-    })?;
+    let text = std::fs::read_to_string(path)
+        .map_err(|e| Fault::new(path.display().to_string(), e.to_string()))?;
     parse(&text)
 }
 
@@ -110,27 +93,18 @@
 ///
 /// Returns the first field that cannot be used.
 pub fn parse(text: &str) -> Result<Settings, Fault> {
-    let deserializer = toml::Deserializer::parse(text).map_err(|e| Fault {
-        place: "settings file".into(),
-        problem: e.message().to_string(),
-    })?;
-    let wire: WireSettings = serde_path_to_error::deserialize(deserializer).map_err(|e| Fault {
-        place: e.path().to_string(),
-        problem: e.inner().message().to_string(),
-    })?;
-    let port_fault = |problem: &str| Fault {
-        place: "port_range".into(),
-        problem: problem.into(),
-    };
+    let deserializer =
+        toml::Deserializer::parse(text).map_err(|e| Fault::new("settings file", e.message()))?;
+    let wire: WireSettings = serde_path_to_error::deserialize(deserializer)
+        .map_err(|e| Fault::new(e.path().to_string(), e.inner().message()))?;
     let (first, last) = wire.port_range;
     if first == 0 || first > last {
-        return Err(port_fault("expected a first and a last port"));
+        return Err(Fault::new("port_range", "expected a first and a last port"));
     }
     let address = |port: u16| -> Result<SocketAddr, Fault> {
-        format!("{}:{port}", wire.ip).parse().map_err(|_| Fault {
-            place: "ip".into(),
-            problem: format!("not an IP number: {:?}", wire.ip),
-        })
+        format!("{}:{port}", wire.ip)
+            .parse()
+            .map_err(|_| Fault::new("ip", format!("not an IP number: {:?}", wire.ip)))
     };
     let mut domains: Vec<Name> = wire.zones.iter().map(|(zone, _)| zone.clone()).collect();
     if domains.is_empty() {
@@ -155,9 +129,11 @@
 fn bounds(wire: &WireBounds) -> Result<Bounds, Fault> {
     let span = |place: &str, value: Option<f64>, unit: f64, default: Duration| match value {
         None => Ok(default),
-        Some(value) => Duration::try_from_secs_f64(value * unit).map_err(|_| Fault {
-            place: format!("bounds.{place}"),
-            problem: format!("not a length of time: {value}"),
+        Some(value) => Duration::try_from_secs_f64(value * unit).map_err(|_| {
+            Fault::new(
+                format!("bounds.{place}"),
+                format!("not a length of time: {value}"),
+            )
         }),
     };
     let default = Bounds::default();
--- a/src/platform/decode.rs
+++ b/src/platform/decode.rs
@@ -7,7 +7,6 @@
 
 use crate::core::Name;
 use crate::core::catalog::Catalog;
-use crate::core::catalog::Engine;
 use crate::core::catalog::Kind;
 use crate::core::catalog::Limits;
 use crate::core::catalog::Route;
@@ -81,11 +80,6 @@
 #[derive(Deserialize)]
 struct WireService {
     name: String,
-    #[serde(default)]
-    health_path: String,
-    /// Channels that one server accepts, from all callers together.
-    #[serde(default)]
-    max_conns: u32,
     engine: Option<WireEngine>,
     scale: Option<WireScale>,
 }
@@ -93,8 +87,6 @@
 #[derive(Deserialize)]
 struct WireEngine {
     slots: u32,
-    #[serde(default)]
-    kv_capacity_tokens: u64,
 }
 
 #[derive(Deserialize)]
@@ -114,7 +106,6 @@
 struct WireLimits {
     max_header_bytes: Option<usize>,
     max_body_bytes: Option<usize>,
-    header_timeout_ms: Option<f64>,
     idle_timeout_ms: Option<f64>,
 }
 
@@ -196,12 +187,7 @@
 
 fn service(wire: WireService) -> (Name, Service) {
     let service = Service {
-        health_path: wire.health_path.into(),
-        max_connections: wire.max_conns,
-        engine: wire.engine.map(|engine| Engine {
-            slots: engine.slots,
-            memory_tokens: engine.kv_capacity_tokens,
-        }),
+        slots: wire.engine.map(|engine| engine.slots),
         scale: wire.scale.map(|scale| Scale {
             min: scale.min,
             max: scale.max,
@@ -236,7 +222,6 @@
     Limits {
         head_bytes: wire.max_header_bytes.unwrap_or(default.head_bytes),
         body_bytes: wire.max_body_bytes.unwrap_or(default.body_bytes),
-        head_time: wire.header_timeout_ms.map_or(default.head_time, millis),
         idle_time: wire.idle_timeout_ms.map_or(default.idle_time, millis),
     }
 }
@@ -255,7 +240,6 @@
     born: u64,
     #[serde(default)]
     spot: bool,
-    leaves_ms: Option<f64>,
 }
 
 /// Decodes the entry of a backend server.
@@ -291,7 +275,6 @@
         } else {
             Class::OnDemand
         },
-        leaves_in: wire.leaves_ms.map(millis),
     })
 }
 
--- a/src/web/pool.rs
+++ b/src/web/pool.rs
@@ -60,8 +60,6 @@
     task: AbortHandle,
     address: SocketAddr,
     idle_until: Instant,
-    /// Whether no request was sent on it before.
-    pub is_fresh: bool,
 }
 
 impl Drop for Connection {
@@ -108,7 +106,6 @@
                 task: task.abort_handle(),
                 address,
                 idle_until: Instant::now() + IDLE_TIME,
-                is_fresh: true,
             })
         };
         match tokio::time::timeout(limit, opening).await {
@@ -173,7 +170,6 @@
         loop {
             let mut connection = self.pop(address)?;
             if connection.sender.ready().await.is_ok() {
-                connection.is_fresh = false;
                 return Some(connection);
             }
         }
@@ -224,12 +220,4 @@
         }
         rows.retain(|row| !row.idle.is_empty());
     }
-
-    /// Closes all unused connections to a server.
-    pub fn close(&self, address: SocketAddr) {
-        let mut rows = self.rows.lock().unwrap();
-        if let Ok(at) = rows.binary_search_by_key(&address, |row| row.address) {
-            rows.remove(at);
-        }
-    }
 }
--- a/tests/contract/frames.rs
+++ b/tests/contract/frames.rs
@@ -6,10 +6,10 @@
 use cassialock::core::retry::crash::Crash;
 use cassialock::core::retry::crash::Fingerprint;
 use cassialock::core::time::Time;
+use cassialock::frame;
+use cassialock::frame::FrameError;
 use cassialock::node::peers::Call;
 use cassialock::node::peers::StreamRecord;
-use cassialock::node::peers::frame;
-use cassialock::node::peers::frame::FrameError;
 use proptest::prelude::ProptestConfig;
 use proptest::proptest;
 
--- a/tests/decisions/quota.rs
+++ b/tests/decisions/quota.rs
@@ -39,6 +39,17 @@
 }
 
 impl Run {
+    /// Creates a run whose news are not late and whose nodes stay.
+    fn new(nodes: usize, length: u64) -> Self {
+        Self {
+            nodes,
+            length,
+            late: 0,
+            restart: None,
+            unread: 0,
+        }
+    }
+
     /// Returns the units asked for and admitted in each millisecond.
     fn play(&self, demand: impl Fn(u64) -> f64) -> (f64, Vec<f64>) {
         let mut rng = SmallRng::seed_from_u64(7);
@@ -131,11 +142,8 @@
 fn a_sudden_demand_stays_within_the_quota_over_all_nodes() {
     for (nodes, late) in [(9, 0), (9, 1), (77, 0), (77, 1)] {
         let run = Run {
-            nodes,
-            length: 25_000,
             late,
-            restart: None,
-            unread: 0,
+            ..Run::new(nodes, 25_000)
         };
         let demand = |ms| if ms >= 3_000 { RATE * 4.2 } else { RATE * 0.5 };
         let most = most_in_window(&run.play(demand).1);
@@ -149,13 +157,7 @@
 #[test]
 fn a_demand_in_bursts_stays_within_the_quota() {
     for nodes in [9, 77] {
-        let run = Run {
-            nodes,
-            length: 40_000,
-            late: 0,
-            restart: None,
-            unread: 0,
-        };
+        let run = Run::new(nodes, 40_000);
         let demand = |ms: u64| {
             if (ms / 2_000).is_multiple_of(3) {
                 RATE * 5.0
@@ -172,13 +174,7 @@
 #[test]
 fn a_demand_below_the_quota_is_served_however_it_is_spread() {
     for nodes in [1, 9, 77] {
-        let run = Run {
-            nodes,
-            length: 20_000,
-            late: 0,
-            restart: None,
-            unread: 0,
-        };
+        let run = Run::new(nodes, 20_000);
         let (asked, units) = run.play(|_| RATE * 0.6);
         let served: f64 = units.iter().sum();
         assert!(served >= asked * 0.98, "{nodes} nodes: {served} of {asked}");
@@ -190,11 +186,8 @@
 fn a_restart_of_all_nodes_does_not_give_the_quota_twice() {
     for nodes in [9, 77] {
         let run = Run {
-            nodes,
-            length: 25_000,
-            late: 0,
             restart: Some(9_000),
-            unread: 0,
+            ..Run::new(nodes, 25_000)
         };
         let most = most_in_window(&run.play(|_| RATE * 4.2).1);
         assert!(most <= ALLOWED, "{nodes} nodes: {most} of {ALLOWED}");
@@ -207,11 +200,9 @@
 fn a_restart_amid_a_sudden_demand_stays_within_the_quota() {
     for (nodes, unread) in [(9, 0), (9, 100), (77, 0), (77, 100)] {
         let run = Run {
-            nodes,
-            length: 25_000,
-            late: 0,
             restart: Some(13_000),
             unread,
+            ..Run::new(nodes, 25_000)
         };
         let demand = |ms| match ms {
             ..9_000 => RATE * 0.5,
@@ -228,13 +219,7 @@
 
 #[test]
 fn a_demand_above_the_quota_gets_nearly_all_of_it() {
-    let run = Run {
-        nodes: 77,
-        length: 30_000,
-        late: 0,
-        restart: None,
-        unread: 0,
-    };
+    let run = Run::new(77, 30_000);
     let (_, units) = run.play(|_| RATE * 2.0);
     let served: f64 = units[5_000..].iter().sum();
     assert!(served >= RATE * 25.0 * 0.9, "{served}");
--- a/tests/entry/fakes.rs
+++ b/tests/entry/fakes.rs
@@ -183,7 +183,6 @@
             slots: 8,
             is_leaving: false,
             class: Class::OnDemand,
-            leaves_in: None,
         }),
     }
 }
