--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -6,6 +6,7 @@
 //! always give the same decisions, so tests can drive every part step by step
 //! on one thread.
 
+pub mod aggregate;
 pub mod catalog;
 pub mod completion;
 pub mod config;
--- a/src/core/moves/detector.rs
+++ b/src/core/moves/detector.rs
@@ -65,6 +65,15 @@
     pub slow: u64,
 }
 
+impl RouteCounts {
+    /// Subtracts counts that are included in these.
+    pub fn subtract(&mut self, included: &RouteCounts) {
+        self.responses = self.responses.saturating_sub(included.responses);
+        self.failed = self.failed.saturating_sub(included.failed);
+        self.slow = self.slow.saturating_sub(included.slow);
+    }
+}
+
 /// Counters of the new version by route.
 pub type Evidence = NameMap<RouteCounts>;
 
--- a/src/core/peer.rs
+++ b/src/core/peer.rs
@@ -199,6 +199,27 @@
             .map(|(_, entry)| &entry.status)
     }
 
+    /// Iterates over the last statuses of all known nodes.
+    pub fn statuses(&self) -> impl Iterator<Item = &NodeStatus> {
+        self.entries.iter().map(|(_, entry)| &entry.status)
+    }
+
+    /// Returns the number of known nodes.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns whether no other node is known.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Returns the units that other nodes admitted since the last call, by
+    /// workspace.
+    pub fn take_admitted(&mut self) -> NameMap<f64> {
+        std::mem::take(&mut self.admitted)
+    }
+
     /// Iterates over the nodes that share the quotas.
     ///
     /// A node with a recent status of fewer than half of the others may be
@@ -240,7 +261,7 @@
                     .demand += usage.demand;
             }
         }
-        for (workspace, admitted) in std::mem::take(&mut self.admitted).iter() {
+        for (workspace, admitted) in self.take_admitted().iter() {
             sum.get_or_insert_with(workspace, QuotaUsage::default)
                 .admitted = *admitted;
         }
--- a/src/core/usage.rs
+++ b/src/core/usage.rs
@@ -15,7 +15,11 @@
 /// Time after the end of a window until the counts of all nodes have arrived.
 ///
 /// With many nodes, this takes several heartbeat rounds.
-const SETTLE_TIME: Duration = Duration::from_secs(4);
+pub const SETTLE_TIME: Duration = Duration::from_secs(4);
+
+/// Time after the end of a window at which its counts are reported even if some
+/// of them are missing.
+pub const LATEST_SETTLE_TIME: Duration = Duration::from_secs(7);
 
 /// Numbers of requests that started in one time window.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -27,18 +31,58 @@
 }
 
 impl WindowCounts {
-    fn add(&mut self, other: &WindowCounts) {
-        for (workspace, count) in other.requests.iter() {
-            *self.requests.get_or_insert_with(workspace, || 0) += count;
-        }
-    }
-
     /// Returns whether no request started in the window.
     pub fn is_empty(&self) -> bool {
         self.requests.iter().all(|(_, count)| *count == 0)
     }
 }
 
+/// Maximum number of windows in a sum over several nodes.
+///
+/// Clocks differ, so some nodes already count a window that others have not
+/// reached.
+const MAX_SUMMED_WINDOWS: usize = MAX_WINDOWS + 1;
+
+/// Returns the sum of `counts` for each of the most recent windows.
+pub fn sum<'a>(counts: impl Iterator<Item = &'a WindowCounts>) -> Vec<WindowCounts> {
+    combine(counts, |total, count| *total += count)
+}
+
+/// Returns the highest of `counts` for each workspace in each of the most recent
+/// windows.
+pub fn highest<'a>(counts: impl Iterator<Item = &'a WindowCounts>) -> Vec<WindowCounts> {
+    combine(counts, |total, count| *total = count.max(*total))
+}
+
+fn combine<'a>(
+    counts: impl Iterator<Item = &'a WindowCounts>,
+    add: impl Fn(&mut u64, u64),
+) -> Vec<WindowCounts> {
+    let mut rows: Vec<WindowCounts> = Vec::new();
+    for row in counts {
+        let index = match rows.binary_search_by_key(&row.window, |known| known.window) {
+            Ok(index) => index,
+            Err(index) => {
+                let empty = WindowCounts {
+                    window: row.window,
+                    requests: NameMap::new(),
+                };
+                rows.insert(index, empty);
+                index
+            }
+        };
+        for (workspace, count) in row.requests.iter() {
+            add(
+                rows[index].requests.get_or_insert_with(workspace, || 0),
+                *count,
+            );
+        }
+    }
+    let excess = rows.len().saturating_sub(MAX_SUMMED_WINDOWS);
+    rows.drain(..excess);
+    rows
+}
+
 /// Counts the requests that started at this node.
 ///
 /// # Invariants
@@ -96,31 +140,30 @@
         &self.rows
     }
 
-    /// Returns the sum over all nodes for the first complete window after `reported`.
+    /// Returns the sum of `counts` for the first window after `reported` that ended
+    /// `settle` ago or earlier.
     ///
-    /// A window is complete when all counts have had time to arrive; `None`
-    /// means that there is no such window yet. Windows without requests are
-    /// skipped, as are windows that no node keeps any more.
+    /// Windows without requests are skipped, as are windows that no node keeps any
+    /// more.
     pub fn next_complete<'a>(
-        &'a self,
+        &self,
         reported: Option<u64>,
-        others: impl Iterator<Item = &'a WindowCounts>,
+        counts: impl Iterator<Item = &'a WindowCounts>,
+        settle: Duration,
         time: Time,
     ) -> Option<WindowCounts> {
         let is_complete = |window: u64| {
-            reported.is_none_or(|last| window > last) && self.end(window) + SETTLE_TIME <= time
+            reported.is_none_or(|last| window > last) && self.end(window) + settle <= time
         };
-        let mut sum: Option<WindowCounts> = None;
-        for counts in self.rows.iter().chain(others) {
-            if !is_complete(counts.window) || counts.is_empty() {
-                continue;
-            }
-            match &mut sum {
-                Some(known) if known.window < counts.window => {}
-                Some(known) if known.window == counts.window => known.add(counts),
-                _ => sum = Some(counts.clone()),
-            }
-        }
-        sum
+        let complete = counts.filter(|counts| is_complete(counts.window) && !counts.is_empty());
+        combine_first(complete)
     }
 }
+
+/// Returns the sum of `counts` for the first of their windows.
+fn combine_first<'a>(counts: impl Iterator<Item = &'a WindowCounts>) -> Option<WindowCounts> {
+    let counts: Vec<&WindowCounts> = counts.collect();
+    let first = counts.iter().map(|counts| counts.window).min()?;
+    let rows = counts.into_iter().filter(|counts| counts.window == first);
+    sum(rows).pop()
+}
--- a/src/entry/adapter.rs
+++ b/src/entry/adapter.rs
@@ -134,7 +134,7 @@
 }
 
 /// Describes a version move declared by an operator.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct DeclaredMove {
     /// The service.
     pub service: Name,
@@ -147,7 +147,7 @@
 }
 
 /// Describes the state of a version move.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum MoveOutcome {
     /// The move is in progress.
     Running,
@@ -237,10 +237,23 @@
     }
 }
 
+/// How recent the data of a read must be.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Consistency {
+    /// The data includes all changes acknowledged before the read.
+    Current,
+    /// The data may be seconds old. The platform bills a fraction of the price.
+    Cached,
+}
+
 /// Reads and writes the objects of the platform's store.
 pub trait Store: Send + Sync {
     /// Lists all objects of a kind.
-    fn list(&self, kind: ObjectKind) -> BoxFuture<'_, Result<Listing, StoreError>>;
+    fn list(
+        &self,
+        kind: ObjectKind,
+        consistency: Consistency,
+    ) -> BoxFuture<'_, Result<Listing, StoreError>>;
 
     /// Waits up to `wait` for changes after a revision.
     fn watch(
--- a/src/entry/feeds/backends.rs
+++ b/src/entry/feeds/backends.rs
@@ -5,7 +5,6 @@
 
 use futures_util::future::BoxFuture;
 
-use crate::core::peer::Phase;
 use crate::core::time::Time;
 use crate::entry::Entry;
 use crate::entry::adapter::Change;
@@ -93,14 +92,15 @@
             .for_each(|event| entry.events.write(event));
     }
 
-    fn confirm(&mut self, entry: &Entry, time: Time) {
-        entry.relay.confirm(time);
+    fn confirm(&mut self, entry: &Entry, _time: Time) {
+        // The time at which the call was sent says nothing about whether the store
+        // still answers: a change may end a watch that has waited for long.
+        entry.relay.record_response(entry.clock.now());
     }
 
     fn record_failure(&mut self, entry: &Entry) {
         let now = entry.clock.now();
-        let mut others = entry.membership.live(now).into_iter();
-        let serves_others = others.any(|status| status.phase == Phase::Ready);
+        let serves_others = entry.membership.has_ready_peer(now);
         let silence = entry.catalog.age(now).unwrap_or_default();
         let since = Time(now.0.saturating_sub(silence.as_micros() as u64));
         entry.backends.record_outage(serves_others, since, now);
--- a/src/entry/feeds/catalog.rs
+++ b/src/entry/feeds/catalog.rs
@@ -69,6 +69,10 @@
             .mul_f64(CONFIRM_FRACTION)
     }
 
+    fn is_up_to_date(&self, entry: &Entry) -> bool {
+        entry.catalog.version() >= entry.relay.catalog_version()
+    }
+
     fn replace(&mut self, entry: &Entry, _revision: u64, objects: Vec<Object>) {
         for object in objects {
             Self::apply_object(entry, object);
@@ -82,9 +86,7 @@
     }
 
     fn confirm(&mut self, entry: &Entry, time: Time) {
-        if entry.catalog.version() > 0 {
-            entry.catalog.confirm(time);
-        }
+        entry.catalog.confirm(time);
     }
 }
 
--- a/src/entry/feeds/mod.rs
+++ b/src/entry/feeds/mod.rs
@@ -11,7 +11,7 @@
 use crate::core::time::Time;
 use crate::entry::Entry;
 use crate::entry::adapter::Change;
-use crate::entry::adapter::Listing;
+use crate::entry::adapter::Consistency;
 use crate::entry::adapter::Object;
 use crate::entry::adapter::ObjectKind;
 use crate::entry::adapter::StoreError;
@@ -23,13 +23,26 @@
 pub mod moves;
 pub mod nodes;
 
-/// Watch timeout for objects that seldom change.
+/// Longest watch timeout for objects that seldom change.
 const LONG_WATCH_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Watch timeout while the store is unreachable, and of the first watch after
-/// another feed reported that it is reachable again.
+/// Longest watch timeout as a fraction of the time for which the store keeps its
+/// history.
 ///
-/// The watch returns at once, so that the end of the outage is known.
+/// After a longer watch, the objects would have to be listed again.
+const HISTORY_FRACTION: f64 = 0.75;
+
+/// Returns the watch timeout for objects that seldom change.
+fn long_watch_timeout(entry: &Entry) -> Duration {
+    let history = entry.settings.load().history;
+    LONG_WATCH_TIMEOUT.min(history.mul_f64(HISTORY_FRACTION))
+}
+
+/// Watch timeout while the store is unreachable, of the first watch after another
+/// feed reported that it is reachable again, and after a cached listing.
+///
+/// The watch returns at once, so that the end of the outage is known and the
+/// listing is confirmed.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(1);
 
 /// Longest backoff of a feed that is notified when the store is reachable again.
@@ -68,11 +81,30 @@
         Box::pin(std::future::ready(None))
     }
 
+    /// Returns whether a starting entry first waits for a relay, which may supply the
+    /// objects without a listing.
+    fn waits_for_relay(&self) -> bool {
+        false
+    }
+
     /// Returns the delay between a response with changes and the next watch.
     fn batch_delay(&self, _entry: &Entry) -> Duration {
         Duration::ZERO
     }
 
+    /// Returns whether all objects may be read from a cache of the store.
+    ///
+    /// Later changes are delivered from the revision of the listing on.
+    fn accepts_cached(&self, entry: &Entry) -> bool {
+        entry.membership.is_aggregated()
+    }
+
+    /// Returns whether the applied objects are as recent as this entry knows that
+    /// they should be.
+    fn is_up_to_date(&self, _entry: &Entry) -> bool {
+        true
+    }
+
     /// Replaces all objects by those of `revision`.
     fn replace(&mut self, entry: &Entry, revision: u64, objects: Vec<Object>);
 
@@ -91,6 +123,15 @@
     fn record_failure(&mut self, _entry: &Entry) {}
 }
 
+/// Waits while the aggregators of a large deployment supply the updates that other
+/// deployments read from the store.
+async fn wait_aggregated(entry: &Entry) -> Option<Resume> {
+    if entry.membership.is_aggregated() && entry.relay.is_relayed(entry.clock.now()) {
+        entry.relay.wait_unrelayed(entry).await;
+    }
+    None
+}
+
 /// The state of a feed's connection to the store.
 struct FeedState {
     name: &'static str,
@@ -99,8 +140,13 @@
     lost_at: Option<Time>,
     /// Whether this feed probes the store during an outage and notifies the others.
     is_prober: bool,
-    /// Whether another feed reported that the store is reachable again.
-    is_notified: bool,
+    /// Whether the next watch should return at once.
+    is_probing: bool,
+    /// Whether the wait for changes has begun.
+    has_watched: bool,
+    /// Whether the store has dropped the history since the last listing, so that a
+    /// cached one may be too old.
+    is_expired: bool,
 }
 
 /// The outcome of a call to the store that did not fail.
@@ -121,9 +167,17 @@
         backoff: INITIAL_BACKOFF,
         lost_at: None,
         is_prober: feed.kind() == ObjectKind::Catalog,
-        is_notified: false,
+        is_probing: false,
+        has_watched: false,
+        is_expired: false,
     };
+    if feed.waits_for_relay() {
+        entry.relay.wait_first_reply(&entry).await;
+    }
     loop {
+        if state.is_first_watch() {
+            entry.relay.wait_first_reply(&entry).await;
+        }
         match feed.wait_relayed(&entry).await {
             Some(Resume::From(revision)) => state.revision = Some(revision),
             Some(Resume::Relist) => state.revision = None,
@@ -131,7 +185,7 @@
         }
         match state.sync(&entry, &mut *feed).await {
             Ok(SyncOutcome::Answered) => state.record_success(&entry),
-            Ok(SyncOutcome::Abandoned) => state.is_notified = true,
+            Ok(SyncOutcome::Abandoned) => state.is_probing = true,
             Err(e) => {
                 state.record_failure(&entry, &e);
                 feed.record_failure(&entry);
@@ -142,6 +196,12 @@
 }
 
 impl FeedState {
+    /// Returns whether all objects were listed and no change was awaited yet, and
+    /// returns false from then on.
+    fn is_first_watch(&mut self) -> bool {
+        self.revision.is_some() && !std::mem::replace(&mut self.has_watched, true)
+    }
+
     async fn sync(
         &mut self,
         entry: &Entry,
@@ -149,16 +209,11 @@
     ) -> Result<SyncOutcome, StoreError> {
         let sent = entry.clock.now();
         let Some(revision) = self.revision else {
-            let listing = entry.adapter.store.list(feed.kind()).await?;
-            let Listing { revision, objects } = listing;
-            feed.replace(entry, revision, objects);
-            feed.write_back(entry).await?;
-            feed.confirm(entry, sent);
-            self.revision = Some(revision);
+            self.list(entry, feed, sent).await?;
             return Ok(SyncOutcome::Answered);
         };
-        let is_notified = std::mem::take(&mut self.is_notified);
-        let wait = if self.lost_at.is_some() || is_notified {
+        let is_probing = std::mem::take(&mut self.is_probing);
+        let wait = if self.lost_at.is_some() || is_probing {
             PROBE_TIMEOUT
         } else {
             feed.watch_timeout(entry)
@@ -192,12 +247,43 @@
                 let event = Event::new("store_history_gone").with("feed", self.name);
                 entry.events.write(event.with("revision", revision));
                 self.revision = None;
+                self.is_expired = true;
                 Ok(SyncOutcome::Answered)
             }
             Err(e) => Err(e),
         }
     }
 
+    /// Reads all objects, from a cache of the store if their age does not matter.
+    async fn list(
+        &mut self,
+        entry: &Entry,
+        feed: &mut dyn Feed,
+        sent: Time,
+    ) -> Result<(), StoreError> {
+        let is_cached = !self.is_expired && feed.accepts_cached(entry);
+        if is_cached {
+            let store = &entry.adapter.store;
+            let listing = store.list(feed.kind(), Consistency::Cached).await?;
+            feed.replace(entry, listing.revision, listing.objects);
+            feed.write_back(entry).await?;
+            self.revision = Some(listing.revision);
+            if feed.is_up_to_date(entry) {
+                // A watch that returns at once confirms that nothing has changed.
+                self.is_probing = true;
+                return Ok(());
+            }
+        }
+        let store = &entry.adapter.store;
+        let listing = store.list(feed.kind(), Consistency::Current).await?;
+        feed.replace(entry, listing.revision, listing.objects);
+        feed.write_back(entry).await?;
+        feed.confirm(entry, sent);
+        self.revision = Some(listing.revision);
+        self.is_expired = false;
+        Ok(())
+    }
+
     /// Waits before the retry of a failed call.
     ///
     /// The platform bills refused calls too, so only one feed probes the store and
--- a/src/entry/feeds/moves.rs
+++ b/src/entry/feeds/moves.rs
@@ -3,46 +3,29 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::core::Name;
+use futures_util::future::BoxFuture;
+
 use crate::entry::Entry;
 use crate::entry::adapter::Change;
 use crate::entry::adapter::Content;
+use crate::entry::adapter::DeclaredMove;
 use crate::entry::adapter::Object;
 use crate::entry::adapter::ObjectKind;
 use crate::entry::feeds;
 use crate::entry::feeds::Feed;
+use crate::entry::feeds::Resume;
 
-struct MovesFeed {
-    services: Vec<Name>,
-}
+struct MovesFeed;
 
-impl MovesFeed {
-    fn apply_object(&mut self, entry: &Entry, object: Object) {
-        let now = entry.clock.now();
-        match object.content {
-            Content::Move(declared) => {
-                let service = declared.service.clone();
-                if !self.services.contains(&service) {
-                    self.services.push(service.clone());
-                }
-                let event = entry.moves.set(&service, Some(declared), now);
-                event
-                    .into_iter()
-                    .for_each(|event| entry.events.write(event));
-            }
-            Content::Unreadable(reason) => {
-                feeds::record_unreadable(entry, ObjectKind::Moves, &object.name, &reason);
-            }
-            Content::Catalog(_) | Content::Backend(_) | Content::Record(_) => {}
+/// Returns the move that an object declares, if it can be decoded.
+fn declared_move(entry: &Entry, object: Object) -> Option<DeclaredMove> {
+    match object.content {
+        Content::Move(declared) => Some(declared),
+        Content::Unreadable(reason) => {
+            feeds::record_unreadable(entry, ObjectKind::Moves, &object.name, &reason);
+            None
         }
-    }
-
-    fn withdraw(&mut self, entry: &Entry, service: &Name) {
-        self.services.retain(|known| known != service);
-        let event = entry.moves.set(service, None, entry.clock.now());
-        event
-            .into_iter()
-            .for_each(|event| entry.events.write(event));
+        Content::Catalog(_) | Content::Backend(_) | Content::Record(_) => None,
     }
 }
 
@@ -51,37 +34,45 @@
         ObjectKind::Moves
     }
 
-    fn watch_timeout(&self, _entry: &Entry) -> Duration {
-        feeds::LONG_WATCH_TIMEOUT
+    fn waits_for_relay(&self) -> bool {
+        true
     }
 
-    fn replace(&mut self, entry: &Entry, _revision: u64, objects: Vec<Object>) {
-        let names: Vec<Name> = objects.iter().map(|object| object.name.clone()).collect();
-        for service in self.services.clone() {
-            if !names.contains(&service) {
-                self.withdraw(entry, &service);
+    fn wait_relayed<'a>(&'a mut self, entry: &'a Entry) -> BoxFuture<'a, Option<Resume>> {
+        Box::pin(async {
+            if entry.moves.listing().is_some() {
+                return feeds::wait_aggregated(entry).await;
             }
-        }
-        for object in objects {
-            self.apply_object(entry, object);
-        }
+            None
+        })
+    }
+
+    fn watch_timeout(&self, entry: &Entry) -> Duration {
+        feeds::long_watch_timeout(entry)
+    }
+
+    fn replace(&mut self, entry: &Entry, revision: u64, objects: Vec<Object>) {
+        let moves = objects.into_iter();
+        let moves = moves.filter_map(|object| declared_move(entry, object));
+        entry.apply_moves(revision, moves.collect());
     }
 
-    fn apply(&mut self, entry: &Entry, _revision: u64, changes: Vec<Change>) {
+    fn apply(&mut self, entry: &Entry, revision: u64, changes: Vec<Change>) {
+        let mut moves = entry.moves.listing().map_or(Vec::new(), |(_, moves)| moves);
         for change in changes {
+            let name = change.object.name.clone();
             if change.is_removed {
-                self.withdraw(entry, &change.object.name);
-            } else {
-                self.apply_object(entry, change.object);
+                moves.retain(|known| known.service != name);
+            } else if let Some(declared) = declared_move(entry, change.object) {
+                moves.retain(|known| known.service != declared.service);
+                moves.push(declared);
             }
         }
+        entry.apply_moves(revision, moves);
     }
 }
 
 /// Follows the version moves.
 pub async fn follow(entry: Arc<Entry>) {
-    let feed = MovesFeed {
-        services: Vec::new(),
-    };
-    feeds::follow(entry, Box::new(feed), "moves").await;
+    feeds::follow(entry, Box::new(MovesFeed), "moves").await;
 }
--- a/src/entry/leader/mod.rs
+++ b/src/entry/leader/mod.rs
@@ -8,10 +8,8 @@
 
 use serde_json::Value;
 
-use crate::core::Name;
 use crate::core::config::Fencing;
 use crate::core::fleet::scaling::Autoscaler;
-use crate::core::lease;
 use crate::core::lease::Action;
 use crate::core::lease::LeaderElector;
 use crate::core::lease::Lease;
@@ -102,23 +100,11 @@
     }
 }
 
-/// Returns whether this node is the one that should try to take the lease.
-///
-/// Nodes that hear the same other nodes agree on the candidate. If they do not
-/// agree, the conditional write of the lease lets only one of them succeed.
-fn is_candidate(entry: &Entry, holder: Option<&Name>, now: Time) -> bool {
-    let live = entry.membership.live(now);
-    let others = live
-        .iter()
-        .filter(|status| status.phase == Phase::Ready && Some(&status.node) != holder)
-        .map(|status| status.incarnation);
-    lease::is_next_holder(entry.membership.incarnation(), others)
-}
-
 impl Leadership {
     async fn step(&mut self, entry: &Entry) {
         let now = entry.clock.now();
-        if let Some(lease) = entry.membership.lease() {
+        self.remove_registrations(entry).await;
+        if let Some(lease) = entry.membership.lease(now) {
             self.lease_state.record_reported(lease, now);
         }
         if entry.is_leaving() {
@@ -128,7 +114,9 @@
         let is_ready = membership::phase(entry) == Phase::Ready;
         let is_holder = self.lease_state.is_held(now);
         let holder = self.lease_state.holder().cloned();
-        let wants_lease = is_ready && (is_holder || is_candidate(entry, holder.as_ref(), now));
+        let own = entry.settings.load().node.clone();
+        let is_candidate = |holder| entry.membership.is_lease_candidate(&own, holder, now);
+        let wants_lease = is_ready && (is_holder || is_candidate(holder.as_ref()));
         if wants_lease && !is_holder {
             if self.lease_state.is_stale(now) && !self.read_lease(entry).await {
                 return;
@@ -246,7 +234,6 @@
         if self.lease_state.may_send_order(entry.clock.now()) {
             self.report_moves(entry).await;
         }
-        self.remove_registrations(entry).await;
     }
 
     /// Reports how version moves ended.
@@ -276,8 +263,13 @@
             return;
         }
         self.cleaned_at = now;
-        let own = entry.settings.load().node.clone();
-        for (name, revision) in entry.membership.stale_registrations(&own, now) {
+        let settings = entry.settings.load_full();
+        let (own, domain) = (&settings.node, &settings.domain);
+        let is_holder = self.lease_state.is_held(now);
+        let stale = entry
+            .membership
+            .stale_registrations(own, domain, is_holder, now);
+        for (name, revision) in stale {
             match entry
                 .adapter
                 .store
--- a/src/entry/limits.rs
+++ b/src/entry/limits.rs
@@ -124,7 +124,9 @@
         nodes,
         unheard,
         others,
-    } = entry.membership.take_quota_usage(now);
+    } = entry
+        .membership
+        .take_quota_usage(&entry.limits.quota_usage(now), now);
     let bounds = entry.settings.load().bounds.clone();
     let mut state = entry.limits.state.lock().unwrap();
     for (workspace, usage) in others.iter() {
--- a/src/entry/membership/mod.rs
+++ b/src/entry/membership/mod.rs
@@ -1,47 +1,50 @@
-//! Membership of entries: registrations in the store and heartbeats over UDP.
+//! Membership of entries: registrations in the store and messages over UDP.
 //!
-//! Lost datagrams are not retransmitted, because each heartbeat carries the full
+//! In a small deployment, every entry sends heartbeats to every other. In a large
+//! one, entries report to the aggregators of their failure domain and learn the
+//! state of the fleet from them; see [`crate::core::aggregate`].
+//!
+//! Lost datagrams are not retransmitted, because each message carries the full
 //! state of its sender. There is no connection between entries that could stall.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
-use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 
 use crate::core::Name;
+use crate::core::fleet::load::Traffic;
+use crate::core::lease;
 use crate::core::lease::Lease;
 use crate::core::name_map::NameMap;
 use crate::core::peer;
-use crate::core::peer::Heartbeat;
 use crate::core::peer::NodeStatus;
 use crate::core::peer::Peers;
 use crate::core::peer::Phase;
+use crate::core::relay;
 use crate::core::time::Time;
 use crate::core::usage::WindowCounts;
 use crate::entry::Entry;
-use crate::entry::relay;
-use crate::error::Error;
-use crate::frame;
-use crate::telemetry::events::Event;
+use crate::entry::membership::aggregation::Aggregation;
 
-/// Interval of heartbeats.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
+pub mod aggregation;
+pub mod datagrams;
 
-/// Number of other entries below which each heartbeat is sent to all of them.
-const FULL_MESH_LIMIT: usize = 16;
+/// Number of other entries up to which heartbeats are sent to all of them.
+const FULL_MESH_LIMIT: usize = 15;
 
-/// Number of random entries that a heartbeat is sent to when there are more.
-const FAN_OUT: usize = 8;
+/// Age up to which the state of the fleet is used to direct callers and to decide
+/// who acts for all.
+const FLEET_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Statuses of other entries forwarded in one heartbeat.
-const FORWARDED_STATUSES: usize = 4;
+/// Age up to which the load of the fleet is used.
+const LOAD_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Largest datagram, in bytes.
-const MAX_DATAGRAM: usize = 60_000;
+/// Age up to which a failure domain counts as heard.
+const DOMAIN_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// Time for which a registered entry counts as present before its first heartbeat.
 const FIRST_HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(10);
@@ -49,14 +52,6 @@
 /// Time without heartbeats after which a registration is removed.
 const REMOVE_AFTER: Duration = Duration::from_secs(60);
 
-/// Represents a message from one entry to another.
-#[derive(Deserialize, Serialize)]
-enum Datagram {
-    Heartbeat(Box<Heartbeat>),
-    Query(relay::Query),
-    Reply(relay::Reply),
-}
-
 /// Describes an entry, as registered in the store.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Registration {
@@ -68,6 +63,9 @@
     pub domain: Name,
     /// Start time in microseconds since 1970, by its own clock.
     pub started: u64,
+    /// Processor capacity in thousandths of a core, or 0 if unknown.
+    #[serde(default)]
+    pub millicores: u32,
 }
 
 #[derive(Clone, Debug)]
@@ -81,11 +79,29 @@
 struct State {
     peers: Peers,
     registrations: NameMap<KnownRegistration>,
+    aggregation: Aggregation,
     incarnation: u64,
     seq: u64,
     lease: Option<Lease>,
 }
 
+impl State {
+    /// Returns whether there are too many entries for heartbeats between all.
+    fn is_aggregated(&self) -> bool {
+        let registered = self.registrations.len().saturating_sub(1);
+        registered.max(self.peers.len()) > FULL_MESH_LIMIT
+    }
+}
+
+/// Request counts of all entries, by time window and workspace.
+#[derive(Clone, Debug)]
+pub struct FleetCounts {
+    /// The counts, of which several may be of the same window.
+    pub counts: Vec<WindowCounts>,
+    /// Whether all failure domains have reported recently.
+    pub is_complete: bool,
+}
+
 /// Describes how the quotas are used and how many entries share them.
 #[derive(Clone, Debug)]
 pub struct QuotaUsage {
@@ -101,17 +117,8 @@
 #[derive(Default)]
 pub struct Membership {
     state: Mutex<State>,
-}
-
-/// Binds the UDP socket for heartbeats.
-///
-/// # Errors
-///
-/// Returns an error if the address cannot be bound.
-pub async fn bind(address: SocketAddr) -> Result<UdpSocket, Error> {
-    UdpSocket::bind(address)
-        .await
-        .map_err(|e| Error::io(address.to_string(), &e))
+    /// Wakes the sender of heartbeats when the registrations have been listed.
+    listed: Notify,
 }
 
 impl Membership {
@@ -165,6 +172,11 @@
         }
     }
 
+    /// Records that all registrations were listed.
+    pub fn record_listed(&self) {
+        self.listed.notify_one();
+    }
+
     /// Returns the names of all registered entries.
     pub fn registered(&self) -> Vec<Name> {
         let state = self.state.lock().unwrap();
@@ -175,16 +187,36 @@
             .collect()
     }
 
-    /// Returns the registrations to remove, with their revisions.
+    /// Returns the registrations that this entry should remove, with their
+    /// revisions.
     ///
-    /// These are the registrations of entries without recent heartbeats.
-    pub fn stale_registrations(&self, own: &str, now: Time) -> Vec<(Name, u64)> {
+    /// These are the registrations of entries without recent heartbeats. The lease
+    /// holder removes them, and in a large deployment the aggregators of their
+    /// failure domain, which receive these heartbeats.
+    pub fn stale_registrations(
+        &self,
+        own: &str,
+        domain: &str,
+        is_holder: bool,
+        now: Time,
+    ) -> Vec<(Name, u64)> {
         let state = self.state.lock().unwrap();
+        let is_aggregated = state.is_aggregated();
+        let is_responsible = if is_aggregated {
+            state.aggregation.has_acted_for(REMOVE_AFTER, now)
+        } else {
+            is_holder
+        };
+        if !is_responsible {
+            return Vec::new();
+        }
         let heard = state.peers.heard_within(now, REMOVE_AFTER);
+        let is_heard = |name: &Name| **name == *own || heard.binary_search(name).is_ok();
+        let reports = |row: &Registration| !is_aggregated || *row.domain == *domain;
         state
             .registrations
             .iter()
-            .filter(|(name, _)| ***name != *own && heard.binary_search(name).is_err())
+            .filter(|(name, row)| !is_heard(name) && reports(&row.registration))
             .filter(|(_, row)| now.since(row.since) > REMOVE_AFTER)
             .map(|(name, row)| (name.clone(), row.revision))
             .collect()
@@ -196,14 +228,29 @@
     }
 
     /// Returns the demand of the other entries and the units that they admitted
-    /// since the last call.
-    pub fn take_quota_usage(&self, now: Time) -> QuotaUsage {
+    /// since the last call; `own` is the usage of this entry.
+    pub fn take_quota_usage(&self, own: &NameMap<peer::QuotaUsage>, now: Time) -> QuotaUsage {
         let mut state = self.state.lock().unwrap();
+        let state = &mut *state;
+        let is_new = |row: &KnownRegistration| now.since(row.since) < FIRST_HEARTBEAT_TIMEOUT;
+        if state.is_aggregated() {
+            let registered = state.registrations.len();
+            let recent = state.registrations.iter().filter(|(_, row)| is_new(row));
+            let summary = state.aggregation.view.summary(LOAD_TIMEOUT, now);
+            let reported = summary.map_or(1, |summary| summary.nodes as usize);
+            let unheard = recent.count().min(registered.saturating_sub(reported));
+            return QuotaUsage {
+                nodes: reported + unheard,
+                unheard,
+                others: state.aggregation.view.take_quota_usage(own),
+            };
+        }
         let (heard, usage) = state.peers.take_quota_usage(now);
         let known = state.peers.names();
-        let unheard = state.registrations.iter().filter(|(name, row)| {
-            known.binary_search(name).is_err() && now.since(row.since) < FIRST_HEARTBEAT_TIMEOUT
-        });
+        let unheard = state
+            .registrations
+            .iter()
+            .filter(|(name, row)| known.binary_search(name).is_err() && is_new(row));
         // This entry sends itself no heartbeats, so its own registration is
         // subtracted.
         let unheard = unheard.count().saturating_sub(1);
@@ -216,18 +263,40 @@
 
     /// Returns the median clock offset of the live entries, in microseconds.
     pub fn clock_offset(&self, now: Time) -> i64 {
-        self.state.lock().unwrap().peers.clock_offset(now)
+        let state = self.state.lock().unwrap();
+        match state.aggregation.clock_offset(now) {
+            Some(offset) if state.is_aggregated() => offset,
+            _ => state.peers.clock_offset(now),
+        }
     }
 
-    /// Returns the usage counts of the other entries.
-    pub fn usage_counts(&self) -> Vec<WindowCounts> {
+    /// Returns the request counts of all entries.
+    pub fn usage_counts(&self, entry: &Entry) -> FleetCounts {
+        let now = entry.clock.now();
         let state = self.state.lock().unwrap();
-        state.peers.request_counts().cloned().collect()
+        if state.is_aggregated() {
+            let collector = &state.aggregation.collector;
+            let domains = &entry.settings.load().domains;
+            return FleetCounts {
+                counts: collector.request_counts(),
+                is_complete: collector.is_complete(domains, DOMAIN_TIMEOUT, now),
+            };
+        }
+        let others = state.peers.request_counts().cloned();
+        FleetCounts {
+            counts: entry.usage.counts().into_iter().chain(others).collect(),
+            is_complete: true,
+        }
     }
 
-    /// Returns the lease as last announced by another entry.
-    pub fn lease(&self) -> Option<Lease> {
-        self.state.lock().unwrap().peers.lease().cloned()
+    /// Returns the lease as last announced by an entry.
+    pub fn lease(&self, now: Time) -> Option<Lease> {
+        let state = self.state.lock().unwrap();
+        let summary = state.aggregation.view.summary(FLEET_TIMEOUT, now);
+        let order = |lease: &&Lease| (lease.fence, lease.renewal);
+        let reported = summary.and_then(|summary| summary.lease.as_ref());
+        let leases = state.peers.lease().into_iter().chain(reported);
+        leases.max_by_key(order).cloned()
     }
 
     /// Merges the status of another entry, and returns whether it was new.
@@ -235,22 +304,119 @@
         self.state.lock().unwrap().peers.merge(status, now)
     }
 
-    /// Returns the statuses of the other entries with recent heartbeats.
-    pub fn live(&self, now: Time) -> Vec<NodeStatus> {
-        self.state
-            .lock()
-            .unwrap()
+    /// Returns whether the deployment is too large for heartbeats between all
+    /// entries.
+    pub fn is_aggregated(&self) -> bool {
+        self.state.lock().unwrap().is_aggregated()
+    }
+
+    /// Returns whether the store changes that this entry `own` needs may come from
+    /// another entry.
+    pub fn expects_relay(&self, own: &str) -> bool {
+        let state = self.state.lock().unwrap();
+        state.is_aggregated() && !state.aggregation.is_first(own)
+    }
+
+    /// Returns whether another entry is in contact with the store.
+    pub fn has_ready_peer(&self, now: Time) -> bool {
+        let state = self.state.lock().unwrap();
+        if state.is_aggregated() {
+            let summary = state.aggregation.view.summary(FLEET_TIMEOUT, now);
+            return summary.is_some_and(|summary| summary.phase == Phase::Ready);
+        }
+        let mut live = state.peers.live(now);
+        live.any(|status| status.phase == Phase::Ready)
+    }
+
+    /// Returns whether this entry is the one that should acquire a lease which
+    /// `holder` no longer holds.
+    ///
+    /// Entries that know the same others agree. If they do not agree, the
+    /// conditional write of the lease lets only one of them succeed.
+    pub fn is_lease_candidate(&self, own: &str, holder: Option<&Name>, now: Time) -> bool {
+        let state = self.state.lock().unwrap();
+        if state.is_aggregated() {
+            let summary = state.aggregation.view.summary(FLEET_TIMEOUT, now);
+            return summary.is_some_and(|summary| summary.is_next_holder(own, holder));
+        }
+        let others = state
             .peers
             .live(now)
-            .cloned()
-            .collect()
+            .filter(|status| status.phase == Phase::Ready && Some(&status.node) != holder)
+            .map(|status| status.incarnation);
+        lease::is_next_holder(state.incarnation, others)
+    }
+
+    /// Returns the traffic of all entries by service, or `None` if it is unknown;
+    /// `own` is the traffic of this entry.
+    pub fn traffic(&self, own: NameMap<Traffic>, now: Time) -> Option<NameMap<Traffic>> {
+        let state = self.state.lock().unwrap();
+        if state.is_aggregated() {
+            let summary = state.aggregation.view.summary(LOAD_TIMEOUT, now);
+            return summary.map(|summary| summary.traffic.clone());
+        }
+        let mut sum = own;
+        for status in state.peers.live(now) {
+            for (service, traffic) in status.traffic.iter() {
+                sum.get_or_insert_with(service, Traffic::default)
+                    .add(traffic);
+            }
+        }
+        Some(sum)
+    }
+
+    /// Records that another entry queried this one as its relay.
+    pub fn record_query(&self, now: Time) {
+        self.state.lock().unwrap().aggregation.record_query(now);
+    }
+
+    /// Records that a relay did not answer.
+    pub fn record_silent_relay(&self, relay: Name, now: Time) {
+        let mut state = self.state.lock().unwrap();
+        state.aggregation.record_silent_relay(relay, now);
+    }
+
+    /// Returns the entry that relays store changes to this entry, if any, and its
+    /// address.
+    pub fn relay(&self, own: &str, phase: Phase, now: Time) -> Option<(Name, SocketAddr)> {
+        let mut state = self.state.lock().unwrap();
+        if state.is_aggregated() {
+            return state.aggregation.relay(own, now);
+        }
+        let state = &mut *state;
+        let live: Vec<&NodeStatus> = state
+            .peers
+            .live(now)
+            .filter(|status| status.phase == Phase::Ready)
+            .collect();
+        let mut names: Vec<Name> = live.iter().map(|status| status.node.clone()).collect();
+        if phase == Phase::Ready {
+            names.push(own.into());
+        }
+        let relay = relay::relay_of(own, &names)?;
+        let status = live.into_iter().find(|status| status.node == relay)?;
+        Some((relay, status.peer))
     }
 
     /// Returns the caller addresses of the other entries in the best serving phase,
     /// and whether this entry, in phase `own`, is in that phase too.
+    ///
+    /// In a large deployment, these are the addresses of some of the entries.
     pub fn best_fronts(&self, own: Phase, now: Time) -> (bool, Vec<SocketAddr>) {
         let state = self.state.lock().unwrap();
         let serving = |phase| matches!(phase, Phase::Ready | Phase::Stale);
+        let summary = state.aggregation.view.summary(FLEET_TIMEOUT, now);
+        if let Some(summary) = summary.filter(|_| state.is_aggregated()) {
+            let best = [summary.phase, own]
+                .into_iter()
+                .filter(|p| serving(*p))
+                .max();
+            return match best {
+                Some(best) if summary.phase == best => (own == best, summary.fronts.clone()),
+                Some(best) => (own == best, Vec::new()),
+                None => (false, Vec::new()),
+            };
+        }
         let best = state
             .peers
             .live(now)
@@ -287,177 +453,3 @@
         Phase::Ready
     }
 }
-
-/// Sends and receives heartbeats until the entry stops.
-pub async fn run(entry: Arc<Entry>, socket: UdpSocket) {
-    let every = |span| {
-        let mut step = tokio::time::interval(span);
-        step.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        step
-    };
-    let mut heartbeat_timer = every(HEARTBEAT_INTERVAL);
-    let mut query_timer = every(relay::QUERY_INTERVAL);
-    let mut leaving = entry.leaving.subscribe();
-    let mut buffer = vec![0; MAX_DATAGRAM];
-    loop {
-        tokio::select! {
-            _ = heartbeat_timer.tick() => send_heartbeat(&entry, &socket).await,
-            _ = query_timer.tick() => if let Some((to, query)) = relay::next_query(&entry) {
-                send_datagram(&entry, &socket, to, &Datagram::Query(query)).await;
-            },
-            changed = leaving.changed() => match changed {
-                Ok(()) => send_heartbeat(&entry, &socket).await,
-                Err(_) => return,
-            },
-            received = socket.recv_from(&mut buffer) => match received {
-                Ok((length, from)) => {
-                    if let Some(reply) = receive(&entry, &buffer[..length], from) {
-                        send_datagram(&entry, &socket, from, &reply).await;
-                    }
-                }
-                // The error reports that an earlier datagram reached a closed port.
-                Err(_) => tokio::time::sleep(Duration::from_millis(5)).await,
-            },
-        }
-    }
-}
-
-async fn send_datagram(entry: &Entry, socket: &UdpSocket, to: SocketAddr, datagram: &Datagram) {
-    match frame::encode(datagram) {
-        // A failed send is equivalent to a lost datagram.
-        Ok(bytes) => drop(socket.send_to(&bytes, to).await),
-        Err(e) => log_unsendable(entry, &format!("{e:?}")),
-    }
-}
-
-fn log_unsendable(entry: &Entry, reason: &str) {
-    entry
-        .events
-        .write(Event::new("datagram_unsendable").with("reason", reason));
-}
-
-fn own_status(entry: &Entry, front: SocketAddr) -> Option<NodeStatus> {
-    let settings = entry.settings.load();
-    let now = entry.clock.now();
-    let mut state = entry.membership.state.lock().unwrap();
-    if state.incarnation == 0 {
-        return None;
-    }
-    state.seq += 1;
-    let (incarnation, seq, lease) = (state.incarnation, state.seq, state.lease.clone());
-    drop(state);
-    Some(NodeStatus {
-        node: settings.node.clone(),
-        incarnation,
-        seq,
-        domain: settings.domain.clone(),
-        front,
-        peer: settings.peer,
-        phase: phase(entry),
-        time: now,
-        lease,
-        quota_usage: entry.limits.quota_usage(now),
-        traffic: entry.service_load.traffic(),
-        request_counts: entry.usage.counts(),
-        crashes: entry.crashes.lock().unwrap().recent(now),
-        evidence: entry.moves.evidence(),
-        vetoes: entry.moves.vetoes(),
-    })
-}
-
-async fn send_heartbeat(entry: &Entry, socket: &UdpSocket) {
-    let Some(front) = entry.settings.load().front else {
-        return;
-    };
-    let Some(own) = own_status(entry, front) else {
-        return;
-    };
-    let now = entry.clock.now();
-    let own_name = own.node.clone();
-    let (mut targets, others) = {
-        let state = entry.membership.state.lock().unwrap();
-        let registered = state.registrations.iter();
-        let registered = registered.map(|(name, row)| (name.clone(), row.registration.peer));
-        let heard = state.peers.live(now);
-        let heard = heard.map(|status| (status.node.clone(), status.peer));
-        let known: NameMap<SocketAddr> = registered.chain(heard).collect();
-        let others = known.iter().filter(|(name, _)| **name != own_name);
-        let targets: Vec<SocketAddr> = others.map(|(_, peer)| *peer).collect();
-        let others = if targets.len() < FULL_MESH_LIMIT {
-            Vec::new()
-        } else {
-            state.peers.recently_heard(FORWARDED_STATUSES, now)
-        };
-        (targets, others)
-    };
-    if targets.len() >= FULL_MESH_LIMIT {
-        for at in 0..FAN_OUT {
-            let other = at + (entry.random_u64() % (targets.len() - at) as u64) as usize;
-            targets.swap(at, other);
-        }
-        targets.truncate(FAN_OUT);
-    }
-    let datagram = match frame::encode(&Datagram::Heartbeat(Box::new(Heartbeat { own, others }))) {
-        Ok(datagram) => datagram,
-        Err(e) => return log_unsendable(entry, &format!("{e:?}")),
-    };
-    for target in targets {
-        // A failed send is equivalent to a lost datagram.
-        let _ = socket.send_to(&datagram, target).await;
-    }
-}
-
-/// Handles a datagram and returns the reply to it, if there is one.
-fn receive(entry: &Entry, datagram: &[u8], from: SocketAddr) -> Option<Datagram> {
-    match frame::decode(datagram) {
-        Ok(Datagram::Heartbeat(heartbeat)) => apply_heartbeat(entry, *heartbeat),
-        Ok(Datagram::Query(query)) => return relay::answer(entry, &query).map(Datagram::Reply),
-        Ok(Datagram::Reply(reply)) => relay::apply_reply(entry, reply),
-        Err(e) => {
-            let event = Event::new("datagram_unreadable").with("from", from.to_string());
-            entry.events.write(event.with("reason", format!("{e:?}")));
-        }
-    }
-    None
-}
-
-fn apply_heartbeat(entry: &Entry, heartbeat: Heartbeat) {
-    let now = entry.clock.now();
-    let sender = heartbeat.own.node.clone();
-    let time = heartbeat.own.time;
-    for status in std::iter::once(heartbeat.own).chain(heartbeat.others) {
-        apply_status(entry, status, now);
-    }
-    let mut state = entry.membership.state.lock().unwrap();
-    state.peers.record_time(&sender, time, now);
-}
-
-/// Applies the status of another entry, if it is new.
-fn apply_status(entry: &Entry, status: NodeStatus, now: Time) {
-    if status.node == entry.settings.load().node {
-        return;
-    }
-    let before = {
-        let state = entry.membership.state.lock().unwrap();
-        state.peers.phase(&status.node, now)
-    };
-    if !entry.membership.merge(status.clone(), now) {
-        return;
-    }
-    if before != Some(status.phase) {
-        entry.events.write(
-            Event::new("peer_phase")
-                .with("peer", &*status.node)
-                .with("incarnation", status.incarnation)
-                .with("phase", format!("{:?}", status.phase)),
-        );
-    }
-    let mut crashes = entry.crashes.lock().unwrap();
-    for crash in status.crashes {
-        crashes.record(crash);
-    }
-    drop(crashes);
-    entry
-        .moves
-        .merge(&status.node, &status.evidence, &status.vetoes);
-}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -23,10 +23,12 @@
 use crate::core::retry::crash::CrashHistory;
 use crate::core::time::Time;
 use crate::entry::adapter::Adapter;
+use crate::entry::adapter::DeclaredMove;
 use crate::entry::backends::Backends;
 use crate::entry::catalog::CurrentCatalog;
 use crate::entry::limits::Limits;
 use crate::entry::membership::Membership;
+use crate::entry::membership::datagrams;
 use crate::entry::moves::Moves;
 use crate::entry::relay::Relay;
 use crate::entry::service_load::ServiceLoad;
@@ -168,6 +170,16 @@
         )
     }
 
+    /// Applies the version moves declared in the store as of `revision`, unless
+    /// newer ones are known.
+    pub fn apply_moves(&self, revision: u64, moves: Vec<DeclaredMove>) {
+        let now = self.clock.now();
+        let events = self.moves.apply_listing(revision, moves, now);
+        events
+            .into_iter()
+            .for_each(|event| self.events.write(event));
+    }
+
     /// Applies changed settings.
     ///
     /// Listening addresses keep the values that they had at the start.
@@ -189,16 +201,20 @@
     let settings = entry.settings.load_full();
     let (closing, closed) = watch::channel(false);
     let listener_tasks = listeners::listen(&entry, closed).await?;
-    let socket = membership::bind(settings.peer).await?;
-    let tasks = [
+    let socket = datagrams::bind(settings.peer).await?;
+    let mut tasks = vec![
+        tokio::spawn(feeds::nodes::follow(Arc::clone(&entry))),
+        tokio::spawn(datagrams::run(Arc::clone(&entry), socket)),
+    ];
+    // Whether the other feeds have a relay depends on the number of entries.
+    feeds::nodes::wait_listed(&entry).await;
+    tasks.extend([
         tokio::spawn(feeds::catalog::follow(Arc::clone(&entry))),
         tokio::spawn(feeds::backends::follow(Arc::clone(&entry))),
         tokio::spawn(feeds::moves::follow(Arc::clone(&entry))),
-        tokio::spawn(feeds::nodes::follow(Arc::clone(&entry))),
-        tokio::spawn(membership::run(Arc::clone(&entry), socket)),
         tokio::spawn(leader::run(Arc::clone(&entry))),
         tokio::spawn(tick(Arc::clone(&entry))),
-    ];
+    ]);
     entry.events.write(
         Event::new("started")
             .with("domain", &*settings.domain)
--- a/src/entry/moves.rs
+++ b/src/entry/moves.rs
@@ -20,6 +20,8 @@
 #[derive(Default)]
 pub struct Moves {
     canaries: Mutex<NameMap<Canary>>,
+    /// The declared moves and the revision of the store that they reflect.
+    listing: Mutex<Option<(u64, Vec<DeclaredMove>)>>,
 }
 
 /// Determines which version serves a request.
@@ -37,10 +39,42 @@
         Self::default()
     }
 
+    /// Returns the declared moves and the revision of the store that they reflect,
+    /// or `None` before they are known.
+    pub fn listing(&self) -> Option<(u64, Vec<DeclaredMove>)> {
+        self.listing.lock().unwrap().clone()
+    }
+
+    /// Replaces the declared moves by those of `revision`, unless newer ones are
+    /// known, and returns the events to write.
+    pub fn apply_listing(&self, revision: u64, moves: Vec<DeclaredMove>, now: Time) -> Vec<Event> {
+        let mut listing = self.listing.lock().unwrap();
+        let before = match listing.as_mut() {
+            Some((known, _)) if *known > revision => return Vec::new(),
+            Some((known, list)) if *list == moves => {
+                *known = revision;
+                return Vec::new();
+            }
+            Some((_, list)) => std::mem::take(list),
+            None => Vec::new(),
+        };
+        let mut events = Vec::new();
+        for old in &before {
+            if !moves.iter().any(|declared| declared.service == old.service) {
+                events.extend(self.set(&old.service, None, now));
+            }
+        }
+        for declared in &moves {
+            events.extend(self.set(&declared.service, Some(declared.clone()), now));
+        }
+        *listing = Some((revision, moves));
+        events
+    }
+
     /// Applies a declared move, or removes it if `declared` is `None`.
     ///
     /// Returns the event to write, if the move is new or removed.
-    pub fn set(&self, service: &Name, declared: Option<DeclaredMove>, now: Time) -> Option<Event> {
+    fn set(&self, service: &Name, declared: Option<DeclaredMove>, now: Time) -> Option<Event> {
         let mut canaries = self.canaries.lock().unwrap();
         let Some(declared) = declared else {
             let removed = canaries.remove(service)?;
@@ -159,6 +193,38 @@
         }
     }
 
+    /// Merges the sum of the evidence of all entries of a failure domain.
+    ///
+    /// The sum of the own domain includes the evidence of this entry.
+    pub fn merge_domain(&self, domain: &Name, services: &NameMap<Evidence>, is_own: bool) {
+        let mut canaries = self.canaries.lock().unwrap();
+        for (service, canary) in canaries.iter_mut() {
+            let Some(sum) = services.get(service) else {
+                continue;
+            };
+            let mut others = sum.clone();
+            if is_own {
+                for (route, counts) in others.iter_mut() {
+                    if let Some(own) = canary.detector.evidence().get(route) {
+                        counts.subtract(own);
+                    }
+                }
+            }
+            canary.detector.merge(domain, &others);
+        }
+    }
+
+    /// Applies faults that other entries found, as service and version.
+    pub fn merge_vetoes(&self, vetoes: &[(Name, Name)]) {
+        let mut canaries = self.canaries.lock().unwrap();
+        for (service, canary) in canaries.iter_mut() {
+            let mut found = vetoes.iter();
+            if found.any(|(known, version)| known == service && *version == canary.target) {
+                canary.veto("vetoed by another entry".into());
+            }
+        }
+    }
+
     /// Vetoes the new versions whose evidence shows a fault.
     pub fn detect_faults(&self, entry: &Entry) {
         let mut canaries = self.canaries.lock().unwrap();
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -12,8 +12,6 @@
 use tokio::sync::Notify;
 
 use crate::core::Name;
-use crate::core::peer::Phase;
-use crate::core::relay;
 use crate::core::time::Time;
 use crate::entry::Entry;
 use crate::entry::adapter::BackendServer;
@@ -26,14 +24,25 @@
 /// Time without a reply after which an entry follows the store itself.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(950);
 
+/// Longest wait of a starting entry for the first reply of a relay.
+const FIRST_REPLY_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Interval at which a starting entry checks for the first reply.
+const FIRST_REPLY_STEP: Duration = Duration::from_millis(50);
+
+/// Upper bound of the random delay before an entry of a large deployment follows
+/// the store itself, so that a replacement for a lost relay can be found first.
+const TAKEOVER_JITTER: Duration = Duration::from_millis(500);
+
 /// Age of the relay's catalog from which an entry follows the store itself, as a
 /// fraction of the time within which a new catalog must be in force.
 ///
 /// The rest covers the next query to the relay and a call to the store.
 const MAX_AGE_FRACTION: f64 = 0.62;
 
-/// Age of the known backend servers from which a relay does not answer queries.
-const MAX_BACKEND_AGE: Duration = Duration::from_millis(3_200);
+/// Time without a response of the store about the backend servers after which a
+/// relay does not answer queries.
+const MAX_STORE_SILENCE: Duration = Duration::from_millis(3_200);
 
 /// Changes of backend servers kept for queries from other entries.
 const MAX_LOGGED: usize = 1_024;
@@ -81,13 +90,17 @@
     /// Revision after which `log` is complete.
     log_start: u64,
     log: Vec<(u64, Name, Option<BackendServer>)>,
-    /// Time at which the backend servers were last confirmed by the store.
-    confirmed: Time,
+    /// Time of the last response of the store about the backend servers.
+    responded_at: Time,
     pending: Option<(u64, Time)>,
+    /// Newest catalog version named by a relay.
+    catalog_version: u64,
     last_reply: Option<Time>,
     is_relayed: bool,
     /// Whether there is a relay to query.
     has_relay: bool,
+    /// The relay, and when it was first queried.
+    target: Option<(Name, Time)>,
 }
 
 /// Tracks this entry's role in relaying, as a relay or as a client of one.
@@ -120,10 +133,10 @@
         state.record(revision, changes);
     }
 
-    /// Records that the known backend servers were current at `time`.
-    pub fn confirm(&self, time: Time) {
+    /// Records a response of the store about the backend servers.
+    pub fn record_response(&self, now: Time) {
         let mut state = self.state.lock().unwrap();
-        state.confirmed = state.confirmed.max(time);
+        state.responded_at = state.responded_at.max(now);
     }
 
     /// Returns the revision up to which the backend servers are known.
@@ -131,6 +144,11 @@
         self.state.lock().unwrap().revision
     }
 
+    /// Returns the newest catalog version that a relay has named, or 0.
+    pub fn catalog_version(&self) -> u64 {
+        self.state.lock().unwrap().catalog_version
+    }
+
     /// Returns whether this entry gets store changes from a relay.
     pub fn is_relayed(&self, now: Time) -> bool {
         let state = self.state.lock().unwrap();
@@ -140,6 +158,49 @@
                 .is_some_and(|at| now.since(at) < REPLY_TIMEOUT)
     }
 
+    /// Reports a relay that has not answered within the timeout, so that another one
+    /// is queried.
+    fn record_silence(&self, entry: &Entry, now: Time) {
+        let mut state = self.state.lock().unwrap();
+        let Some((relay, since)) = state.target.clone() else {
+            return;
+        };
+        let heard = state.last_reply.map_or(since, |at| at.max(since));
+        let silence = now.since(heard);
+        if silence < REPLY_TIMEOUT {
+            return;
+        }
+        state.target = None;
+        drop(state);
+        let event = Event::new("relay_silent").with("relay", &*relay);
+        entry.events.write(event.with_ms("silence_ms", silence));
+        entry.membership.record_silent_relay(relay, now);
+    }
+
+    /// Waits for the first reply of a relay, for a limited time.
+    ///
+    /// An entry that starts in a large deployment has no relay until its first
+    /// report to an aggregator is answered. If all entries start at once, they must
+    /// not follow the store themselves until then.
+    pub async fn wait_first_reply(&self, entry: &Entry) {
+        let _ = tokio::time::timeout(FIRST_REPLY_TIMEOUT, async {
+            let own = entry.settings.load().node.clone();
+            while entry.membership.expects_relay(&own) && !self.is_relayed(entry.clock.now()) {
+                tokio::time::sleep(FIRST_REPLY_STEP).await;
+            }
+        })
+        .await;
+    }
+
+    /// Returns whether this entry of a large deployment has no relay although one may
+    /// be known, so that it should query it at once.
+    pub fn needs_query(&self, entry: &Entry) -> bool {
+        let state = self.state.lock().unwrap();
+        let is_waiting = !state.has_relay && state.revision > 0;
+        drop(state);
+        is_waiting && entry.membership.is_aggregated()
+    }
+
     /// Returns whether this entry queries a relay, even if the relay does not answer.
     pub fn has_relay(&self) -> bool {
         self.state.lock().unwrap().has_relay
@@ -150,7 +211,14 @@
         loop {
             let notified = self.unrelayed.notified();
             if !self.is_relayed(entry.clock.now()) {
-                return;
+                if !entry.membership.is_aggregated() || !self.has_relay() {
+                    return;
+                }
+                tokio::time::sleep(entry.jitter(TAKEOVER_JITTER)).await;
+                if !self.is_relayed(entry.clock.now()) {
+                    return;
+                }
+                continue;
             }
             // A relay that stops answering triggers no notification.
             let _ = tokio::time::timeout(REPLY_TIMEOUT / 2, notified).await;
@@ -202,32 +270,29 @@
 /// Returns the next query and the address to send it to, if there is a relay.
 pub fn next_query(entry: &Entry) -> Option<(SocketAddr, Query)> {
     let now = entry.clock.now();
-    let me = entry.settings.load().node.clone();
-    let live = entry.membership.live(now);
-    let mut names: Vec<Name> = live
-        .iter()
-        .filter(|status| status.phase == Phase::Ready)
-        .map(|status| status.node.clone())
-        .collect();
-    if membership::phase(entry) == Phase::Ready {
-        names.push(me.clone());
-    }
-    let relay = relay::relay_of(&me, &names);
-    let target = relay.and_then(|relay| live.iter().find(|status| status.node == relay));
+    entry.relay.record_silence(entry, now);
+    let phase = membership::phase(entry);
+    let relay = entry
+        .membership
+        .relay(&entry.settings.load().node, phase, now);
     let mut state = entry.relay.state.lock().unwrap();
-    let target = target.filter(|_| state.revision > 0);
-    state.has_relay = target.is_some();
-    let Some(target) = target else {
+    let relay = relay.filter(|_| state.revision > 0);
+    state.has_relay = relay.is_some();
+    let Some((node, address)) = relay else {
         state.is_relayed = false;
+        state.target = None;
         return None;
     };
+    if state.target.as_ref().is_none_or(|target| target.0 != node) {
+        state.target = Some((node, now));
+    }
     let nonce = now.0;
     state.pending = Some((nonce, now));
     let query = Query {
         nonce,
         revision: state.revision,
     };
-    Some((target.peer, query))
+    Some((address, query))
 }
 
 /// Returns the reply to a query, if this entry follows the store itself.
@@ -236,8 +301,9 @@
     if entry.relay.is_relayed(now) || entry.is_leaving() {
         return None;
     }
+    entry.membership.record_query(now);
     let state = entry.relay.state.lock().unwrap();
-    if now.since(state.confirmed) > MAX_BACKEND_AGE {
+    if now.since(state.responded_at) > MAX_STORE_SILENCE {
         return None;
     }
     Some(Reply {
@@ -278,6 +344,7 @@
         changes.is_some() && reply.age < max_age,
     );
     state.last_reply = Some(now);
+    state.catalog_version = state.catalog_version.max(reply.version);
     let is_relayed = state.is_relayed;
     if let Some(changes) = &changes {
         state.record(changes.revision, &changes.changes);
--- a/src/entry/service_load.rs
+++ b/src/entry/service_load.rs
@@ -61,10 +61,7 @@
 
     /// Returns the traffic of this entry by service.
     pub fn traffic(&self) -> NameMap<Traffic> {
-        let state = self.state.lock().unwrap();
-        let rows = state.local.iter();
-        rows.map(|(service, counts)| (service.clone(), counts.traffic))
-            .collect()
+        self.state.lock().unwrap().traffic()
     }
 
     /// Returns the number of servers with `slots` each that a service needs.
@@ -76,6 +73,12 @@
 }
 
 impl State {
+    fn traffic(&self) -> NameMap<Traffic> {
+        let rows = self.local.iter();
+        rows.map(|(service, counts)| (service.clone(), counts.traffic))
+            .collect()
+    }
+
     /// Converts the counts since the last sample into rates.
     fn sample(&mut self, in_flight: &NameMap<f64>, now: Time) {
         let elapsed = self.sampled_at.map(|at| now.since(at).as_secs_f64());
@@ -103,20 +106,14 @@
     };
     let now = entry.clock.now();
     let in_flight = entry.backends.in_flight();
-    let others = entry.membership.live(now);
     let mut state = entry.service_load.state.lock().unwrap();
     state.sample(&in_flight, now);
+    let Some(traffic) = entry.membership.traffic(state.traffic(), now) else {
+        return;
+    };
     let scaled = catalog.services.iter();
     for (service, _) in scaled.filter(|(_, service)| service.scale.is_some()) {
-        let mut sum = state
-            .local
-            .get(service)
-            .map_or_else(Traffic::default, |counts| counts.traffic);
-        for status in &others {
-            if let Some(traffic) = status.traffic.get(service) {
-                sum.add(traffic);
-            }
-        }
+        let sum = traffic.get(service).copied().unwrap_or_default();
         state
             .loads
             .get_or_insert_with(service, LoadEstimator::new)
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -26,10 +26,16 @@
     pub metrics: Option<SocketAddr>,
     /// Address of the platform's store.
     pub store: SocketAddr,
+    /// Time for which the store keeps its history.
+    pub history: Duration,
     /// Address of the cloud API, which only the lease holder calls.
     pub cloud: Option<SocketAddr>,
     /// Memory usage at which the process is killed, in bytes.
     pub memory_limit: u64,
+    /// Processor capacity of the VM in thousandths of a core, or 0 if unknown.
+    pub millicores: u32,
+    /// Whether the whole deployment starts for the first time.
+    pub is_first_start: bool,
     /// Guarantees of the deployment.
     pub bounds: Bounds,
 }
--- a/src/entry/usage.rs
+++ b/src/entry/usage.rs
@@ -5,6 +5,7 @@
 
 use crate::core::Name;
 use crate::core::time::Time;
+use crate::core::usage;
 use crate::core::usage::UsageMeter;
 use crate::core::usage::WindowCounts;
 use crate::entry::Entry;
@@ -33,10 +34,18 @@
     }
 
     /// Returns the next window to report after `reported`, summed over all nodes.
+    ///
+    /// The report waits for summaries of all failure domains, but not until it is
+    /// late.
     pub fn due(&self, entry: &Entry, reported: Option<u64>) -> Option<WindowCounts> {
         let time = entry.cluster_time();
-        let others = entry.membership.usage_counts();
+        let known = entry.membership.usage_counts(entry);
+        let settle = if known.is_complete {
+            usage::SETTLE_TIME
+        } else {
+            usage::LATEST_SETTLE_TIME
+        };
         let meter = self.meter.lock().unwrap();
-        meter.next_complete(reported, others.iter(), time)
+        meter.next_complete(reported, known.counts.iter(), settle, time)
     }
 }
--- a/src/platform/object_store.rs
+++ b/src/platform/object_store.rs
@@ -13,6 +13,7 @@
 
 use crate::core::Name;
 use crate::entry::adapter::Change;
+use crate::entry::adapter::Consistency;
 use crate::entry::adapter::Content;
 use crate::entry::adapter::Listing;
 use crate::entry::adapter::MoveOutcome;
@@ -101,6 +102,22 @@
     })
 }
 
+/// Returns the path and query that list the objects of a kind after a name.
+fn list_target(kind: ObjectKind, after: &str, consistency: Consistency) -> String {
+    let mut query = form_urlencoded::Serializer::new(String::new());
+    if !after.is_empty() {
+        query.append_pair("after", after);
+    }
+    if consistency == Consistency::Cached {
+        query.append_pair("serializable", "1");
+    }
+    let path = format!("/v1/objects/{}", kind_name(kind));
+    match query.finish() {
+        query if query.is_empty() => path,
+        query => format!("{path}?{query}"),
+    }
+}
+
 fn parse_json<T: serde::de::DeserializeOwned>(response: &ApiResponse) -> Result<T, StoreError> {
     serde_json::from_slice(&response.body).map_err(|e| StoreError::Garbled(e.to_string()))
 }
@@ -125,17 +142,15 @@
         check_status(self.client.call(self.address, &request).await?)
     }
 
-    async fn read_all(&self, kind: ObjectKind) -> Result<Listing, StoreError> {
+    async fn read_all(
+        &self,
+        kind: ObjectKind,
+        consistency: Consistency,
+    ) -> Result<Listing, StoreError> {
         let mut listing = Listing::default();
         let mut after = String::new();
         loop {
-            let mut target = format!("/v1/objects/{}", kind_name(kind));
-            if !after.is_empty() {
-                let query = form_urlencoded::Serializer::new(String::new())
-                    .append_pair("after", &after)
-                    .finish();
-                target = format!("{target}?{query}");
-            }
+            let target = list_target(kind, &after, consistency);
             let response = self.call(ApiRequest::new(Method::GET, target)).await?;
             let page: WirePage = parse_json(&response)?;
             // The listing keeps the revision of the first page, so that the watch
@@ -205,8 +220,12 @@
 }
 
 impl Store for ObjectStore {
-    fn list(&self, kind: ObjectKind) -> BoxFuture<'_, Result<Listing, StoreError>> {
-        Box::pin(self.read_all(kind))
+    fn list(
+        &self,
+        kind: ObjectKind,
+        consistency: Consistency,
+    ) -> BoxFuture<'_, Result<Listing, StoreError>> {
+        Box::pin(self.read_all(kind, consistency))
     }
 
     fn watch(
--- a/src/platform/settings_file.rs
+++ b/src/platform/settings_file.rs
@@ -25,6 +25,9 @@
     ip: String,
     /// First and last port for traffic between nodes.
     port_range: (u16, u16),
+    /// Whether the whole deployment starts for the first time.
+    #[serde(default)]
+    bootstrap: bool,
     #[serde(default)]
     zones: NameMap<String>,
     #[serde(default)]
@@ -47,6 +50,11 @@
 #[derive(Default, Deserialize)]
 struct WireLimits {
     memory_mb: Option<u64>,
+    /// Fraction of the time for which the process gets the processor.
+    #[serde(default)]
+    cpu_share: f64,
+    /// Speed of the processor relative to one core.
+    cpu_cores: Option<f64>,
 }
 
 #[derive(Default, Deserialize)]
@@ -66,8 +74,13 @@
 #[derive(Deserialize)]
 struct WirePlatform {
     address: SocketAddr,
+    /// Seconds for which the store keeps its history.
+    history_s: Option<f64>,
 }
 
+/// Time for which the store keeps its history if the settings file names none.
+const DEFAULT_HISTORY: Duration = Duration::from_secs(20);
+
 /// Memory limit of a process if the settings file names none, in MB.
 const DEFAULT_MEMORY_MB: u64 = 256;
 
@@ -124,39 +137,52 @@
         peer: address(first_port)?,
         metrics: Some(address(METRICS_PORT)?),
         store: wire.platform.address,
+        history: duration(
+            "platform.history_s",
+            wire.platform.history_s,
+            1.0,
+            DEFAULT_HISTORY,
+        )?,
         cloud: wire.cloud.map(|cloud| cloud.address),
         memory_limit: wire.limits.memory_mb.unwrap_or(DEFAULT_MEMORY_MB) * 1_000_000,
+        is_first_start: wire.bootstrap,
+        millicores: (wire.limits.cpu_share * wire.limits.cpu_cores.unwrap_or(1.0) * 1_000.0) as u32,
         bounds: bounds(&wire.bounds)?,
     })
 }
 
-fn bounds(wire: &WireBounds) -> Result<Bounds, DocumentError> {
-    let duration = |field: &str, value: Option<f64>, unit: f64, default: Duration| match value {
-        None => Ok(default),
-        Some(value) => Duration::try_from_secs_f64(value * unit).map_err(|_| {
-            DocumentError::new(
-                format!("bounds.{field}"),
-                format!("not a length of time: {value}"),
-            )
-        }),
+/// Converts a length of time; `unit` is that of `value` in seconds.
+fn duration(
+    field: &str,
+    value: Option<f64>,
+    unit: f64,
+    default: Duration,
+) -> Result<Duration, DocumentError> {
+    let Some(value) = value else {
+        return Ok(default);
     };
+    let invalid = |_| DocumentError::new(field, format!("not a length of time: {value}"));
+    Duration::try_from_secs_f64(value * unit).map_err(invalid)
+}
+
+fn bounds(wire: &WireBounds) -> Result<Bounds, DocumentError> {
     let default = Bounds::default();
     let ms = 0.001;
     Ok(Bounds {
         grace_period: duration(
-            "grace_period_s",
+            "bounds.grace_period_s",
             wire.grace_period_s,
             1.0,
             default.grace_period,
         )?,
-        config_delay: duration("config_ms", wire.config_ms, ms, default.config_delay)?,
-        revoke_delay: duration("revoke_ms", wire.revoke_ms, ms, default.revoke_delay)?,
+        config_delay: duration("bounds.config_ms", wire.config_ms, ms, default.config_delay)?,
+        revoke_delay: duration("bounds.revoke_ms", wire.revoke_ms, ms, default.revoke_delay)?,
         fail_closed: wire.fail_closed.unwrap_or(default.fail_closed),
         retry_ratio: wire.retry_budget_ratio.unwrap_or(default.retry_ratio),
         retry_slack: wire.budget_slack.unwrap_or(default.retry_slack),
-        lease: duration("lease_ms", wire.lease_ms, ms, default.lease)?,
-        window: duration("window_s", wire.window_s, 1.0, default.window)?,
+        lease: duration("bounds.lease_ms", wire.lease_ms, ms, default.lease)?,
+        window: duration("bounds.window_s", wire.window_s, 1.0, default.window)?,
         exposed_share: wire.expose_share.unwrap_or(default.exposed_share),
-        ttl_max: duration("ttl_max_s", wire.ttl_max_s, 1.0, default.ttl_max)?,
+        ttl_max: duration("bounds.ttl_max_s", wire.ttl_max_s, 1.0, default.ttl_max)?,
     })
 }
--- a/tests/contract/adapter.rs
+++ b/tests/contract/adapter.rs
@@ -32,6 +32,7 @@
 ready = "10.1.0.14:8224"
 directory = "10.1.0.14:8220"
 [limits]
+cpu_share = 0.25
 memory_mb = 260
 [bounds]
 grace_period_s = 8
--- a/tests/decisions/usage.rs
+++ b/tests/decisions/usage.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use cassialock::core::time::Time;
+use cassialock::core::usage;
 use cassialock::core::usage::UsageMeter;
 
 fn meter(seconds: &[u64]) -> UsageMeter {
@@ -18,8 +19,9 @@
     let own = meter(&[100, 101, 106]);
     let other = meter(&[102, 107]);
     let next = |reported, second: u64| {
-        let others = other.counts().iter();
-        own.next_complete(reported, others, Time::from_millis(second * 1_000))
+        let counts = own.counts().iter().chain(other.counts());
+        let time = Time::from_millis(second * 1_000);
+        own.next_complete(reported, counts, usage::SETTLE_TIME, time)
     };
     assert_eq!(next(None, 108), None);
     let first = next(None, 109).unwrap();
@@ -36,9 +38,10 @@
 #[test]
 fn windows_without_requests_are_skipped() {
     let own = meter(&[100, 113]);
-    let none = [].iter();
+    let counts = own.counts().iter();
+    let time = Time::from_millis(119_000);
     let next = own
-        .next_complete(Some(20), none, Time::from_millis(119_000))
+        .next_complete(Some(20), counts, usage::SETTLE_TIME, time)
         .unwrap();
     assert_eq!(next.window, 22);
 }
--- a/tests/entry/fakes.rs
+++ b/tests/entry/fakes.rs
@@ -20,6 +20,7 @@
 use cassialock::entry::adapter::BackendServer;
 use cassialock::entry::adapter::Cloud;
 use cassialock::entry::adapter::CloudReply;
+use cassialock::entry::adapter::Consistency;
 use cassialock::entry::adapter::Content;
 use cassialock::entry::adapter::LeaseHolder;
 use cassialock::entry::adapter::Listing;
@@ -63,7 +64,11 @@
 pub struct FakeStore(pub Arc<Script>);
 
 impl Store for FakeStore {
-    fn list(&self, _kind: ObjectKind) -> BoxFuture<'_, Result<Listing, StoreError>> {
+    fn list(
+        &self,
+        _kind: ObjectKind,
+        _consistency: Consistency,
+    ) -> BoxFuture<'_, Result<Listing, StoreError>> {
         Box::pin(async { Ok(self.0.listing.lock().unwrap().clone()) })
     }
 
@@ -154,7 +159,7 @@
 pub fn settings() -> Settings {
     let local = |port: u16| ([127, 0, 0, 1], port).into();
     Settings {
-        node: "entry-1".into(),
+        node: "entry-2".into(),
         domain: "rionegro".into(),
         domains: vec!["rionegro".into()],
         front: Some(local(0)),
@@ -163,8 +168,11 @@
         peer: local(0),
         metrics: None,
         store: local(1),
+        history: Duration::from_secs(20),
         cloud: None,
         memory_limit: 260_000_000,
+        millicores: 250,
+        is_first_start: false,
         bounds: Bounds::default(),
     }
 }
@@ -177,7 +185,7 @@
         store: Box::new(FakeStore(Arc::clone(script))),
         cloud: Box::new(FakeCloud),
     };
-    let events = EventLog::with_sender("entry-1".into(), clock, None);
+    let events = EventLog::with_sender("entry-2".into(), clock, None);
     Arc::new(Entry::new(settings(), adapter, events, clock))
 }
 
@@ -224,10 +232,12 @@
 /// Merges the statuses of `count` other entries, one of which is the entry's relay.
 pub fn add_peers(entry: &Entry, count: usize) {
     let names: Vec<Name> = (0..count)
-        .map(|index| format!("peer-{index}").into())
+        .map(|index| format!("other-{index}").into())
         .collect();
     for name in &names {
         entry.membership.merge(status(name), entry.clock.now());
     }
-    assert!(core_relay::relay_of("entry-1", &names).is_some());
+    let mut ready = names.clone();
+    ready.push("entry-2".into());
+    assert!(core_relay::relay_of("entry-2", &ready).is_some());
 }
--- a/tests/entry/feeds.rs
+++ b/tests/entry/feeds.rs
@@ -122,7 +122,7 @@
         let script = script((0..400).map(|_| down()).collect());
         let entry = fakes::entry(&script);
         if has_relay {
-            fakes::add_peers(&entry, 40);
+            fakes::add_peers(&entry, 12);
             entry.relay.record_list(5);
             relay::next_query(&entry).unwrap();
         }
--- a/tests/entry/relay.rs
+++ b/tests/entry/relay.rs
@@ -30,8 +30,8 @@
     entry.catalog.confirm(now);
     entry.backends.replace(vec![server("i-1", false)], now);
     entry.relay.record_list(5);
-    entry.relay.confirm(now);
-    fakes::add_peers(&entry, 40);
+    entry.relay.record_response(now);
+    fakes::add_peers(&entry, 12);
     entry
 }
 
@@ -91,8 +91,8 @@
 async fn a_late_reply_does_not_make_the_catalog_look_newer() {
     let entry = follower();
     tokio::time::advance(Duration::from_secs(2)).await;
-    for index in 0..40 {
-        let mut later = fakes::status(&format!("peer-{index}"));
+    for index in 0..12 {
+        let mut later = fakes::status(&format!("other-{index}"));
         later.seq = 2;
         entry.membership.merge(later, entry.clock.now());
     }
--- a/tests/entry/requests.rs
+++ b/tests/entry/requests.rs
@@ -205,7 +205,7 @@
         settings.bounds.revoke_delay = Duration::from_secs(60);
         let clock = Clock::new();
         let (sender, lines) = channel::unbounded();
-        let events = EventLog::with_sender("entry-1".into(), clock, Some(sender));
+        let events = EventLog::with_sender("entry-2".into(), clock, Some(sender));
         let adapter = Adapter {
             dialect: Box::new(HeaderProtocol::new()),
             store: Box::new(FakeStore(script)),
