Judge quotas by a window, and refill them before the first request

Two reasons, read from the refusals' inputs, which are logged now: a node subtracted what others admitted but refilled nothing before its own first request of a workspace; and the demand of one second was compared with the rate of one second, although a request may have 9,000 tokens and the rule allows for a window of 8 s and a slack.

Change: limits are set when the catalog arrives. A request is admitted while the units used in the window, and those that others may not have reported, stay within 0.8 of what the window allows, if the mean demand does as well; beyond that the rate decides as before.

--- a/src/core/catalog.rs
+++ b/src/core/catalog.rs
@@ -221,6 +221,11 @@
         self
     }
 
+    /// Returns the declared workspaces.
+    pub fn workspaces(&self) -> &[Workspace] {
+        &self.workspaces
+    }
+
     /// Returns whether any workspace is declared, so that requests need an API key.
     pub fn has_workspaces(&self) -> bool {
         !self.workspaces.is_empty()
--- a/src/core/limit/quota.rs
+++ b/src/core/limit/quota.rs
@@ -1,5 +1,6 @@
 //! Workspace quotas that all nodes enforce together.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use crate::core::time::Time;
@@ -25,11 +26,64 @@
 /// late.
 const RATE_FRACTION: f64 = 0.97;
 
+/// Fraction of the units allowed in a window that requests may use without regard
+/// to the rate. The rest covers units that other nodes admit and have not reported.
+const WINDOW_FRACTION: f64 = 0.8;
+
+/// Time after which reports of other nodes are known at every node.
+const REPORT_DELAY: Duration = Duration::from_millis(1_250);
+
+/// Resolution of the record of admitted units.
+const BUCKET: Duration = Duration::from_millis(500);
+
 /// Longest retry delay that is returned to a caller.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(10);
 
+/// How far a workspace may exceed its quota within a time window.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Tolerance {
+    /// Length of the window.
+    pub window: Duration,
+    /// Fraction of the quota of a window by which it may be exceeded.
+    pub ratio: f64,
+    /// Units by which it may be exceeded in addition.
+    pub slack: f64,
+}
+
+impl Tolerance {
+    /// Returns the units that a workspace may use in a window.
+    pub fn allowed(&self, rate: f64, burst: f64) -> f64 {
+        let quota = rate * self.window.as_secs_f64() + burst;
+        quota * (1.0 + self.ratio) + self.slack
+    }
+}
+
+/// A refusal of a request that exceeds the quota, with the inputs of the decision.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Exceeded {
+    /// Time until the units of the request are available.
+    pub wait: Duration,
+    /// Limit in units per second.
+    pub rate: f64,
+    /// Units available, or negative if too many were admitted.
+    pub level: f64,
+    /// Units that all nodes admitted in the last window, as far as known.
+    pub used: f64,
+    /// Recent demand at this node, in units per second.
+    pub own_demand: f64,
+    /// Recent demand at the other nodes, in units per second.
+    pub peer_demand: f64,
+    /// Time since the other nodes' demand was recorded.
+    pub peer_age: Duration,
+}
+
 /// The quota of one workspace as this node sees it.
 ///
+/// While the workspace has used little of what it is allowed in a time window, its
+/// requests are admitted even if they come at once: the demand of a workspace with
+/// few large requests varies much from second to second. Beyond that, the rate
+/// decides.
+///
 /// A node starts with no burst left and a small debt, since processes that ran
 /// before may have used both. Every node tracks what all nodes have admitted,
 /// and admits a request with a probability that is the same on every node: the
@@ -45,7 +99,13 @@
     admitted: f64,
     own_demand: f64,
     peer_demand: f64,
+    peer_at: Time,
+    /// Moving average of the demand at all nodes over about a window.
+    mean_demand: f64,
     unreported: usize,
+    tolerance: Tolerance,
+    /// Units admitted by all nodes, by the time at which this node learned of them.
+    buckets: VecDeque<(Time, f64)>,
     updated_at: Time,
     created_at: Time,
 }
@@ -60,18 +120,35 @@
             admitted: 0.0,
             own_demand: 0.0,
             peer_demand: 0.0,
+            peer_at: now,
+            mean_demand: 0.0,
             unreported: 0,
+            tolerance: Tolerance::default(),
+            buckets: VecDeque::new(),
             updated_at: now,
             created_at: now,
         }
     }
 
+    /// Sets how far the quota may be exceeded.
+    #[must_use]
+    pub fn with_tolerance(mut self, tolerance: Tolerance) -> Self {
+        self.tolerance = tolerance;
+        self
+    }
+
     /// Sets the rate, in units per second, and the burst, in units. A rate of 0
     /// means no limit.
     pub fn set_limit(&mut self, rate: f64, burst: f64, now: Time) {
         self.advance(now);
         if self.rate == 0.0 {
-            self.level -= rate * STARTUP_DEBT.as_secs_f64();
+            // A workspace that is declared later has not been used before.
+            let is_new_node = now.since(self.created_at) < self.tolerance.window;
+            self.level += if is_new_node || self.tolerance.window.is_zero() {
+                -rate * STARTUP_DEBT.as_secs_f64()
+            } else {
+                burst
+            };
         }
         self.rate = rate;
         self.burst = burst;
@@ -83,7 +160,13 @@
     pub fn record_peers(&mut self, admitted: f64, demand: f64, now: Time) {
         self.advance(now);
         self.level -= admitted;
+        self.add_used(admitted, now);
         self.peer_demand = demand;
+        let elapsed = now.since(self.peer_at).as_secs_f64();
+        let constant = self.tolerance.window.as_secs_f64() / 2.0;
+        let weight = -(-elapsed / constant.max(f64::MIN_POSITIVE)).exp_m1();
+        self.mean_demand += weight * (self.total_demand() - self.mean_demand);
+        self.peer_at = now;
     }
 
     /// Sets the number of nodes that exist and have not reported their demand
@@ -120,23 +203,80 @@
     ///
     /// # Errors
     ///
-    /// Returns the time until the workspace has `units` available again.
-    pub fn take(&mut self, units: f64, random: f64, now: Time) -> Result<(), Duration> {
+    /// Returns the inputs of the decision and the time until the workspace has
+    /// `units` available again.
+    pub fn take(&mut self, units: f64, random: f64, now: Time) -> Result<(), Exceeded> {
         self.advance(now);
         self.own_demand += units / DEMAND_TIME_CONSTANT.as_secs_f64();
-        if self.rate > 0.0 && random >= self.admit_probability() {
+        let is_admitted =
+            self.rate <= 0.0 || self.fits_window(units, now) || random < self.admit_probability();
+        if !is_admitted {
             let missing = (units - self.level).max(0.0) / self.rate;
-            return Err(Duration::from_secs_f64(
-                missing.min(MAX_RETRY_DELAY.as_secs_f64()),
-            ));
+            return Err(Exceeded {
+                wait: Duration::from_secs_f64(missing.min(MAX_RETRY_DELAY.as_secs_f64())),
+                rate: self.rate,
+                level: self.level,
+                used: self.used(now),
+                own_demand: self.demand(now),
+                peer_demand: self.peer_demand,
+                peer_age: now.since(self.peer_at),
+            });
         }
         self.admitted += units;
         self.level -= units;
+        self.add_used(units, now);
         Ok(())
     }
 
+    /// Returns whether the window has room for `units` beside what other nodes may
+    /// have admitted and not reported yet.
+    ///
+    /// A workspace that asks for more than fits into a window has no room, so that
+    /// it is limited evenly.
+    fn fits_window(&self, units: f64, now: Time) -> bool {
+        let allowed = self.tolerance.allowed(self.rate, self.burst) * WINDOW_FRACTION;
+        let unreported = self.total_demand() * REPORT_DELAY.as_secs_f64();
+        let is_within = self.mean_demand * self.tolerance.window.as_secs_f64() <= allowed;
+        is_within && self.used(now) + units + unreported <= allowed
+    }
+
+    /// Returns the units that all nodes admitted in the last window.
+    ///
+    /// A new node assumes that the window before its start was used up.
+    fn used(&self, now: Time) -> f64 {
+        let window = self.tolerance.window;
+        let known: f64 = self
+            .buckets
+            .iter()
+            .filter(|(at, _)| now.since(*at) < window + BUCKET)
+            .map(|(_, units)| units)
+            .sum();
+        let unknown = window.saturating_sub(now.since(self.created_at));
+        let fraction = unknown.as_secs_f64() / window.as_secs_f64().max(f64::MIN_POSITIVE);
+        known + fraction * self.tolerance.allowed(self.rate, self.burst) * WINDOW_FRACTION
+    }
+
+    fn add_used(&mut self, units: f64, now: Time) {
+        let expired = self.tolerance.window + BUCKET;
+        while let Some((at, _)) = self.buckets.front()
+            && now.since(*at) >= expired
+        {
+            self.buckets.pop_front();
+        }
+        match self.buckets.back_mut() {
+            Some((at, sum)) if now.since(*at) < BUCKET => *sum += units,
+            _ => self.buckets.push_back((now, units)),
+        }
+    }
+
     /// Returns the probability with which a request is admitted.
     fn admit_probability(&self) -> f64 {
+        let allowed = self.rate * RATE_FRACTION + self.level / LEVEL_CORRECTION.as_secs_f64();
+        (allowed / self.total_demand().max(f64::MIN_POSITIVE)).clamp(0.0, 1.0)
+    }
+
+    /// Returns the demand at all nodes, in units per second.
+    fn total_demand(&self) -> f64 {
         // A single request says too little to scale the age-corrected demand by
         // the number of nodes.
         let own = if self.unreported > 0 {
@@ -144,9 +284,7 @@
         } else {
             self.demand(self.updated_at)
         };
-        let demand = own + self.peer_demand;
-        let allowed = self.rate * RATE_FRACTION + self.level / LEVEL_CORRECTION.as_secs_f64();
-        (allowed / demand.max(f64::MIN_POSITIVE)).clamp(0.0, 1.0)
+        own + self.peer_demand
     }
 
     fn advance(&mut self, now: Time) {
--- a/src/core/refusal.rs
+++ b/src/core/refusal.rs
@@ -120,6 +120,8 @@
     pub verdict: Verdict,
     /// Human-readable explanation in one sentence.
     pub detail: String,
+    /// Inputs of the decision, which are logged and not sent to the caller.
+    pub inputs: Option<String>,
     /// Time that the caller should wait before retrying.
     pub retry_after: Option<Duration>,
 }
@@ -131,10 +133,18 @@
             reason,
             verdict: Verdict::NotRun,
             detail: detail.into(),
+            inputs: None,
             retry_after: None,
         }
     }
 
+    /// Sets the inputs of the decision, for the log.
+    #[must_use]
+    pub fn with_inputs(mut self, inputs: String) -> Self {
+        self.inputs = Some(inputs);
+        self
+    }
+
     /// Sets whether the request may have run.
     #[must_use]
     pub fn with_verdict(mut self, verdict: Verdict) -> Self {
--- a/src/entry/call/mod.rs
+++ b/src/entry/call/mod.rs
@@ -17,6 +17,7 @@
 use crate::core::catalog::Route;
 use crate::core::catalog::RouteKind;
 use crate::core::catalog::Workspace;
+use crate::core::limit::quota::Exceeded;
 use crate::core::refusal::Reason;
 use crate::core::refusal::Refusal;
 use crate::core::request::RequestInfo;
@@ -120,6 +121,10 @@
         Some(age) => event.with_ms("catalog_age_ms", age),
         None => event,
     };
+    let event = match &refusal.inputs {
+        Some(inputs) => event.with("inputs", &**inputs),
+        None => event,
+    };
     let event = match refusal.retry_after {
         Some(wait) => event.with_ms("retry_after_ms", wait),
         None => event,
@@ -181,14 +186,11 @@
     }
     if let Some(workspace) = workspace {
         let now = entry.clock.now();
+        let tolerance = entry.settings.load().bounds.quota;
         entry
             .limits
-            .take(workspace, &request, entry.random_fraction(), now)
-            .map_err(|wait| {
-                let detail = "the workspace has exceeded its quota";
-                Refusal::new(Reason::WorkspaceLimit, detail)
-                    .with_retry_after(wait + entry.jitter(RETRY_JITTER))
-            })?;
+            .take(workspace, &request, tolerance, entry.random_fraction(), now)
+            .map_err(|exceeded| quota_refusal(entry, &workspace.name, &exceeded))?;
     }
     entry.limits.earn_retry(&service);
     entry.service_load.count_arrived(&service);
@@ -219,6 +221,30 @@
     })
 }
 
+/// Returns the refusal of a request that exceeds the quota of its workspace.
+fn quota_refusal(entry: &Entry, workspace: &str, exceeded: &Exceeded) -> Refusal {
+    let Exceeded {
+        wait,
+        rate,
+        level,
+        used,
+        own_demand,
+        peer_demand,
+        peer_age,
+    } = exceeded;
+    let inputs = format!(
+        "workspace {workspace}, rate {rate:.0}/s, level {level:.0}, used {used:.0}, demand \
+         {own_demand:.0}/s here, {peer_demand:.0}/s elsewhere as of {} ms ago",
+        peer_age.as_millis()
+    );
+    Refusal::new(
+        Reason::WorkspaceLimit,
+        "the workspace has exceeded its quota",
+    )
+    .with_inputs(inputs)
+    .with_retry_after(*wait + entry.jitter(RETRY_JITTER))
+}
+
 fn body_too_large(limit: usize) -> Refusal {
     let detail = format!("the request body is larger than {limit} bytes");
     Refusal::new(Reason::Oversize, detail)
--- a/src/entry/limits.rs
+++ b/src/entry/limits.rs
@@ -1,12 +1,13 @@
 //! Quotas of workspaces and retry budgets of services.
 
 use std::sync::Mutex;
-use std::time::Duration;
 
 use crate::core::Name;
 use crate::core::catalog::BillingUnit;
 use crate::core::catalog::Workspace;
+use crate::core::limit::quota::Exceeded;
 use crate::core::limit::quota::Quota;
+use crate::core::limit::quota::Tolerance;
 use crate::core::name_map::NameMap;
 use crate::core::peer;
 use crate::core::request::RequestInfo;
@@ -26,13 +27,14 @@
 const ASSUMED_NODES: usize = 8;
 
 /// Tracks quotas as seen by this entry and its share of the retry budgets.
-#[derive(Default)]
 pub struct Limits {
     state: Mutex<State>,
 }
 
 #[derive(Default)]
 struct State {
+    /// Time at which this entry started.
+    started_at: Time,
     quotas: NameMap<Quota>,
     budgets: NameMap<RetryBudget>,
     retry_ratio: f64,
@@ -43,23 +45,33 @@
 }
 
 impl Limits {
-    /// Creates limits without workspaces and services.
-    pub fn new() -> Self {
-        Self::default()
+    /// Creates limits without workspaces and services for an entry that starts at
+    /// `now`.
+    pub fn new(now: Time) -> Self {
+        let state = State {
+            started_at: now,
+            ..State::default()
+        };
+        Self {
+            state: Mutex::new(state),
+        }
     }
 
-    /// Deducts the units of a request from its workspace's quota.
+    /// Deducts the units of a request from its workspace's quota, which may be
+    /// exceeded by `tolerance`.
     ///
     /// # Errors
     ///
-    /// Returns the time after which the caller should retry.
+    /// Returns the inputs of the decision and the time after which the caller
+    /// should retry.
     pub fn take(
         &self,
         workspace: &Workspace,
         request: &RequestInfo,
+        tolerance: Tolerance,
         random: f64,
         now: Time,
-    ) -> Result<(), Duration> {
+    ) -> Result<(), Exceeded> {
         let units = match workspace.unit {
             BillingUnit::Requests => 1.0,
             BillingUnit::Tokens { default_tokens } => {
@@ -68,9 +80,9 @@
         };
         let mut state = self.state.lock().unwrap();
         let unheard = state.unheard.unwrap_or(ASSUMED_NODES);
-        let quota = state
-            .quotas
-            .get_or_insert_with(&workspace.name, || Quota::new(now));
+        let quota = state.quotas.get_or_insert_with(&workspace.name, || {
+            Quota::new(now).with_tolerance(tolerance)
+        });
         quota.set_limit(workspace.rate, workspace.burst, now);
         quota.set_unreported(unheard);
         quota.take(units, random, now)
@@ -107,6 +119,13 @@
 }
 
 impl State {
+    fn quota(&mut self, workspace: &Name, tolerance: Tolerance) -> &mut Quota {
+        let started_at = self.started_at;
+        self.quotas.get_or_insert_with(workspace, || {
+            Quota::new(started_at).with_tolerance(tolerance)
+        })
+    }
+
     fn budget(&mut self, service: &Name) -> &mut RetryBudget {
         let (ratio, cap) = (self.retry_ratio, self.retry_cap);
         self.budgets.get_or_insert_with(service, || {
@@ -128,11 +147,19 @@
         .membership
         .take_quota_usage(&entry.limits.quota_usage(now), now);
     let bounds = entry.settings.load().bounds.clone();
+    let catalog = entry.catalog.load();
+    let workspaces = catalog.iter().flat_map(|catalog| catalog.workspaces());
     let mut state = entry.limits.state.lock().unwrap();
+    // The limits are set before the first request, since the quota is refilled only
+    // from then on while others already use it.
+    for workspace in workspaces {
+        state
+            .quota(&workspace.name, bounds.quota)
+            .set_limit(workspace.rate, workspace.burst, now);
+    }
     for (workspace, usage) in others.iter() {
         state
-            .quotas
-            .get_or_insert_with(workspace, || Quota::new(now))
+            .quota(workspace, bounds.quota)
             .record_peers(usage.admitted, usage.demand, now);
     }
     let (ratio, cap) = (
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -120,7 +120,7 @@
         let seed = crate::core::hash(&[&settings.node, &now.0.to_string()]);
         Self {
             backends: Backends::new(&settings.node, &settings.domain),
-            limits: Limits::new(),
+            limits: Limits::new(now),
             membership: Membership::new(),
             relay: Relay::new(),
             usage: Usage::new(settings.bounds.window),
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::core::Name;
+use crate::core::limit::quota::Tolerance;
 
 /// Holds the settings of an entry node.
 #[derive(Clone, Debug, PartialEq)]
@@ -55,6 +56,8 @@
     pub retry_ratio: f64,
     /// Retries of a service allowed in a window in excess of the ratio.
     pub retry_slack: f64,
+    /// How far the workspaces may exceed their quotas.
+    pub quota: Tolerance,
     /// Minimum time before a node that has lost a lease may acquire it again.
     pub lease: Duration,
     /// Length of the windows for usage counts.
@@ -74,6 +77,7 @@
             fail_closed: true,
             retry_ratio: 0.2,
             retry_slack: 50.0,
+            quota: Tolerance::default(),
             lease: Duration::from_secs(3),
             window: Duration::from_secs(5),
             exposed_share: 0.1,
--- a/src/platform/settings_file.rs
+++ b/src/platform/settings_file.rs
@@ -8,6 +8,7 @@
 
 use crate::core::Name;
 use crate::core::config::validate::DocumentError;
+use crate::core::limit::quota::Tolerance;
 use crate::core::name_map::NameMap;
 use crate::entry::settings::Bounds;
 use crate::entry::settings::Settings;
@@ -65,6 +66,9 @@
     fail_closed: Option<bool>,
     retry_budget_ratio: Option<f64>,
     budget_slack: Option<f64>,
+    quota_window_s: Option<f64>,
+    quota_over: Option<f64>,
+    quota_slack: Option<f64>,
     lease_ms: Option<f64>,
     window_s: Option<f64>,
     expose_share: Option<f64>,
@@ -180,6 +184,16 @@
         fail_closed: wire.fail_closed.unwrap_or(default.fail_closed),
         retry_ratio: wire.retry_budget_ratio.unwrap_or(default.retry_ratio),
         retry_slack: wire.budget_slack.unwrap_or(default.retry_slack),
+        quota: Tolerance {
+            window: duration(
+                "bounds.quota_window_s",
+                wire.quota_window_s,
+                1.0,
+                default.quota.window,
+            )?,
+            ratio: wire.quota_over.unwrap_or(default.quota.ratio),
+            slack: wire.quota_slack.unwrap_or(default.quota.slack),
+        },
         lease: duration("bounds.lease_ms", wire.lease_ms, ms, default.lease)?,
         window: duration("bounds.window_s", wire.window_s, 1.0, default.window)?,
         exposed_share: wire.expose_share.unwrap_or(default.exposed_share),
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -2,5 +2,6 @@
 
 mod fakes;
 mod feeds;
+mod limits;
 mod relay;
 mod requests;
