Keep as many reclaimable servers as there were until the load is known

Cause: the fraction of the existing servers that is kept before the load is known held for three failure domains.

Change: the load that the existing servers carry follows from the number of domains, as the inverse of the target.

--- a/src/core/fleet/scaling.rs
+++ b/src/core/fleet/scaling.rs
@@ -20,13 +20,6 @@
 /// Number of newly started servers that replace one server with a warm cache.
 const COLD_FACTOR: f64 = 1.6;
 
-/// Fraction of the existing servers that counts as needed until the load is
-/// known.
-///
-/// With three failure domains, of which two may be lost, this orders about as
-/// many reclaimable servers as there were servers.
-const UNLEARNED_FRACTION: f64 = 0.4;
-
 /// Time for which the autoscaler orders nothing while it sees no server at all
 /// or no request has arrived, since servers register over several seconds after
 /// they and the nodes have started.
@@ -196,8 +189,8 @@
         let on_demand: u32 = by_domain.iter().map(|servers| servers.on_demand).sum();
         let reclaimable: u32 = by_domain.iter().map(|servers| servers.reclaimable).sum();
         self.peak_servers = self.peak_servers.max(on_demand).max(reclaimable);
-        let assumed = f64::from(self.peak_servers) * UNLEARNED_FRACTION;
-        need.servers.max(assumed.ceil() as u32)
+        need.servers
+            .max(carried_load(self.peak_servers, by_domain.len()))
     }
 
     /// Marks reclaimable servers as unavailable in the domains where some have
@@ -295,6 +288,15 @@
         .max(reduced.div_ceil(without(2)))
 }
 
+/// Returns the load, in servers, for which [`reclaimable_target`] orders `servers`
+/// in total.
+fn carried_load(servers: u32, domains: usize) -> u32 {
+    let without = |lost: usize| domains.saturating_sub(lost).max(1) as f64;
+    let by_domain = f64::from(servers) / domains.max(1) as f64;
+    let carried = without(1).min(without(2) / TWO_LOST_FRACTION);
+    (by_domain * carried).ceil().max(1.0) as u32
+}
+
 /// Returns how many on-demand servers are needed beside the reclaimable ones.
 ///
 /// After the loss of one domain, another may follow before the servers ordered
--- a/tests/decisions/scaling.rs
+++ b/tests/decisions/scaling.rs
@@ -379,3 +379,38 @@
         simulation.serving()
     );
 }
+
+/// On the heaviest day of a fleet of five failure domains, half of the servers were
+/// given up before the traffic started, since the fraction that was kept held for
+/// three domains.
+#[test]
+fn a_fleet_of_any_number_of_domains_is_replaced_before_traffic() {
+    for domains in 2..=9 {
+        let by_domain: Vec<DomainServers> = (0..domains)
+            .map(|index| DomainServers {
+                domain: format!("d{index}").into(),
+                on_demand: 26,
+                ..DomainServers::default()
+            })
+            .collect();
+        let scale = Scale {
+            max: 52,
+            ..Simulation::new(1).scale
+        };
+        let mut autoscaler = Autoscaler::new();
+        let mut ordered = 0;
+        for ms in (0..4_000).step_by(500) {
+            let now = Time::from_millis(1_000 + ms);
+            let orders = autoscaler.orders(&scale, &by_domain, UNUSED, now);
+            let reclaimable = orders
+                .iter()
+                .filter(|order| order.class == Class::Reclaimable);
+            ordered += reclaimable.map(|order| order.count).sum::<u32>();
+        }
+        let existing = 26 * domains;
+        assert!(
+            (existing..=existing * 11 / 10).contains(&ordered),
+            "{domains} domains: {ordered} of {existing}"
+        );
+    }
+}
