Relay many changes in parts, and a new listing as changes

Change: a reply holds the first changes and the next query gets the rest; a listing is recorded as the changes against what was known.

--- a/src/entry/backends.rs
+++ b/src/entry/backends.rs
@@ -143,6 +143,28 @@
         events
     }
 
+    /// Returns the changes that turn the known servers into those of `list`.
+    pub fn differences(&self, list: &[BackendServer]) -> Vec<(Name, Option<BackendServer>)> {
+        let state = self.state.lock().unwrap();
+        let is_known = |server: &&BackendServer| {
+            let id = State::incarnation_id(server);
+            state.registered.get(&id) == Some(*server)
+        };
+        let changed = list
+            .iter()
+            .filter(|server| !is_known(server))
+            .map(|server| (server.instance.clone(), Some(server.clone())));
+        let mut present: Vec<&Name> = list.iter().map(|server| &server.instance).collect();
+        present.sort_unstable();
+        let missing = state
+            .registered
+            .iter()
+            .map(|(_, server)| &server.instance)
+            .filter(|instance| present.binary_search(instance).is_err())
+            .map(|instance| (instance.clone(), None));
+        changed.chain(missing).collect()
+    }
+
     /// Applies changes of single servers and returns the events to write.
     pub fn apply_changes(
         &self,
--- a/src/entry/feeds/backends.rs
+++ b/src/entry/feeds/backends.rs
@@ -59,7 +59,13 @@
                 Content::Catalog(_) | Content::Move(_) | Content::Record(_) => {}
             }
         }
-        entry.relay.record_list(revision);
+        if entry.relay.has_list() {
+            // The entries that this one informs need not list the servers again.
+            let changes = entry.backends.differences(&list);
+            entry.relay.record_changes(revision, &changes);
+        } else {
+            entry.relay.record_list(revision);
+        }
         let events = entry.backends.replace(list, entry.clock.now());
         events
             .into_iter()
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -127,6 +127,11 @@
         state.revision = revision;
     }
 
+    /// Returns whether the changes since an earlier listing are recorded.
+    pub fn has_list(&self) -> bool {
+        self.state.lock().unwrap().revision > 0
+    }
+
     /// Records changes up to `revision` for queries from other entries.
     pub fn record_changes(&self, revision: u64, changes: &[(Name, Option<BackendServer>)]) {
         let mut state = self.state.lock().unwrap();
@@ -249,20 +254,28 @@
         }
     }
 
+    /// Returns the changes after a revision, or the first of them if there are too
+    /// many for one reply.
     fn changes_after(&self, after: u64) -> Option<BackendChanges> {
         if after < self.log_start || self.revision == 0 {
             return None;
         }
-        let changes: Vec<_> = self
-            .log
-            .iter()
-            .filter(|row| row.0 > after)
-            .map(|(_, name, server)| (name.clone(), server.clone()))
-            .collect();
-        (changes.len() <= MAX_REPLY_CHANGES).then_some(BackendChanges {
+        let first = self.log.partition_point(|row| row.0 <= after);
+        let rows = &self.log[first..];
+        let mut count = rows.len();
+        let mut revision = self.revision;
+        if count > MAX_REPLY_CHANGES {
+            // Changes of one revision are not separated.
+            let next = rows[MAX_REPLY_CHANGES].0;
+            count = rows.partition_point(|row| row.0 < next);
+            revision = rows[..count].last()?.0;
+        }
+        let changes = rows[..count].iter();
+        let changes = changes.map(|(_, name, server)| (name.clone(), server.clone()));
+        Some(BackendChanges {
             after,
-            revision: self.revision,
-            changes,
+            revision,
+            changes: changes.collect(),
         })
     }
 }
--- a/tests/entry/relay.rs
+++ b/tests/entry/relay.rs
@@ -7,6 +7,9 @@
 use cassialock::entry::Entry;
 use cassialock::entry::adapter::BackendServer;
 use cassialock::entry::adapter::Content;
+use cassialock::entry::adapter::Listing;
+use cassialock::entry::adapter::WatchResult;
+use cassialock::entry::feeds;
 use cassialock::entry::relay;
 
 use crate::fakes;
@@ -195,3 +198,63 @@
     tokio::time::advance(Duration::from_secs(4)).await;
     assert!(relay::answer(&entry, &query).is_none());
 }
+
+/// The replacement of a whole fleet of servers makes more changes than one reply can
+/// hold. Entries whose relay then sent none all listed the servers at once.
+#[tokio::test(start_paused = true)]
+async fn many_changes_are_sent_in_several_replies() {
+    let relay = fakes::entry(&Arc::new(Script::default()));
+    relay.catalog.install(Catalog::new(3));
+    relay.catalog.confirm(relay.clock.now());
+    relay.relay.record_list(5);
+    relay.relay.record_response(relay.clock.now());
+    for index in 0..400 {
+        let name = format!("i-{index}");
+        let change = (name.as_str().into(), Some(server(&name, false)));
+        relay.relay.record_changes(6 + index, &[change]);
+    }
+    let (mut revision, mut changes) = (5, 0);
+    for nonce in 0..10 {
+        let query = relay::Query { nonce, revision };
+        let sent = relay::answer(&relay, &query).unwrap().backends.unwrap();
+        assert_eq!(sent.after, revision);
+        revision = sent.revision;
+        changes += sent.changes.len();
+    }
+    assert_eq!((revision, changes), (405, 400));
+}
+
+/// When the store drops its history, the relay lists the servers again. The entries
+/// that it informs must not do so as well.
+#[tokio::test(start_paused = true)]
+async fn a_relay_that_lists_the_servers_again_sends_what_has_changed() {
+    let script = Script::default();
+    *script.listing.lock().unwrap() = Listing {
+        revision: 9,
+        objects: vec![fakes::backend("i-2", 8)],
+    };
+    let gone = fakes::Answer::Now(Ok(WatchResult::HistoryGone));
+    script.answers.lock().unwrap().push_back(gone);
+    let script = Arc::new(script);
+    let entry = fakes::entry(&script);
+    let now = entry.clock.now();
+    entry.catalog.install(Catalog::new(3));
+    entry.catalog.confirm(now);
+    entry.backends.replace(vec![server("i-1", false)], now);
+    entry.relay.record_list(5);
+    let task = tokio::spawn(feeds::backends::follow(Arc::clone(&entry)));
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    task.abort();
+    let query = relay::Query {
+        nonce: 1,
+        revision: 5,
+    };
+    let sent = relay::answer(&entry, &query).unwrap().backends.unwrap();
+    assert_eq!(sent.revision, 9);
+    let names: Vec<(&str, bool)> = sent
+        .changes
+        .iter()
+        .map(|(name, server)| (&**name, server.is_some()))
+        .collect();
+    assert_eq!(names, [("i-2", true), ("i-1", false)]);
+}
