Bound what a server in trouble sends without end

Played against an entry: an event without end was kept in memory until the deadline, and interim responses were read at full speed, 160 MB in 2 s. Heads, bodies, chunks, extensions, sizes and trailers without end were bounded already.

Change: an event of more than 256 KB, and more than 64 KB before the head of a response, make the answer malformed, and the connection is closed.

--- a/src/core/sse.rs
+++ b/src/core/sse.rs
@@ -6,6 +6,15 @@
 /// Terminator of an event.
 const TERMINATOR: &[u8] = b"\n\n";
 
+/// Largest event that is buffered, in bytes.
+///
+/// A server in trouble may send bytes without end that complete no event.
+pub const MAX_EVENT_BYTES: usize = 256 * 1024;
+
+/// The error of an event that is larger than [`MAX_EVENT_BYTES`].
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct EventTooLarge;
+
 /// Buffers the start of an event until the rest of it has arrived.
 ///
 /// When a stream moves to another server, it resumes after a complete event.
@@ -23,20 +32,25 @@
     }
 
     /// Appends bytes of the stream and returns the events that they complete.
-    pub fn push(&mut self, bytes: &[u8]) -> Bytes {
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the event that they do not complete is too large.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, EventTooLarge> {
         // A terminator may begin in the bytes that are already buffered.
         let from = self.partial.len().saturating_sub(TERMINATOR.len() - 1);
         self.partial.extend_from_slice(bytes);
         let end = self.partial[from..]
             .windows(TERMINATOR.len())
             .rposition(|window| window == TERMINATOR);
-        match end {
-            Some(index) => self
-                .partial
-                .split_to(from + index + TERMINATOR.len())
-                .freeze(),
-            None => Bytes::new(),
+        let complete = match end {
+            Some(index) => self.partial.split_to(from + index + TERMINATOR.len()),
+            None => BytesMut::new(),
+        };
+        if self.partial.len() > MAX_EVENT_BYTES {
+            return Err(EventTooLarge);
         }
+        Ok(complete.freeze())
     }
 
     /// Discards the buffered part of an event, which will not be completed.
--- a/src/entry/call/forward.rs
+++ b/src/entry/call/forward.rs
@@ -217,8 +217,9 @@
             let cause = match tokio::time::timeout(limit.min(left), upstream.body.frame()).await {
                 Ok(Some(Ok(frame))) => match frame.into_data() {
                     Ok(data) if !data.is_empty() => match self.accept(data) {
-                        Some(data) => return Next::Data(data),
-                        None => continue,
+                        Ok(Some(data)) => return Next::Data(data),
+                        Ok(None) => continue,
+                        Err(sse::EventTooLarge) => Cause::Garbled,
                     },
                     // Trailers and empty frames are not forwarded.
                     _ => continue,
@@ -249,7 +250,7 @@
     /// Accepts received bytes and returns those that can be forwarded.
     ///
     /// A resumable stream is forwarded in whole events only.
-    fn accept(&mut self, data: Bytes) -> Option<Bytes> {
+    fn accept(&mut self, data: Bytes) -> Result<Option<Bytes>, sse::EventTooLarge> {
         if let Some(upstream) = &self.upstream
             && !std::mem::replace(&mut self.has_data, true)
         {
@@ -267,9 +268,9 @@
         self.stall_reported = false;
         if !self.call.is_resumable() {
             self.bytes += data.len() as u64;
-            return Some(data);
+            return Ok(Some(data));
         }
-        let complete = self.event_buffer.push(&data);
+        let complete = self.event_buffer.push(&data)?;
         let mut last = None;
         for event in sse::events(&complete) {
             let id = self.call.entry.adapter.dialect.event_id(&event);
@@ -279,10 +280,10 @@
             self.call.last_event = last;
         }
         if complete.is_empty() {
-            return None;
+            return Ok(None);
         }
         self.bytes += complete.len() as u64;
-        Some(complete)
+        Ok(Some(complete))
     }
 
     /// Drops the current upstream and records its failure.
--- /dev/null
+++ b/src/web/head_limit.rs
@@ -0,0 +1,117 @@
+//! A stream that limits the bytes received before the head of a response.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::task::Context;
+use std::task::Poll;
+
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::net::TcpStream;
+
+/// Maximum number of bytes received before the head of a response is complete.
+///
+/// The HTTP library limits one head, but not the interim responses before it.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
+/// Number of bytes that may still be received.
+#[derive(Clone, Debug)]
+pub struct Allowance(Arc<AtomicUsize>);
+
+impl Default for Allowance {
+    fn default() -> Self {
+        Self(Arc::new(AtomicUsize::new(usize::MAX)))
+    }
+}
+
+impl Allowance {
+    /// Creates an allowance without a limit.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Limits the bytes from now on to those of a head.
+    pub fn limit_to_head(&self) {
+        self.0.store(MAX_HEAD_BYTES, Ordering::Relaxed);
+    }
+
+    /// Removes the limit.
+    pub fn remove_limit(&self) {
+        self.0.store(usize::MAX, Ordering::Relaxed);
+    }
+
+    /// Subtracts received bytes, and returns whether they were allowed.
+    fn spend(&self, bytes: usize) -> bool {
+        let left = self.0.load(Ordering::Relaxed);
+        if left == usize::MAX {
+            return true;
+        }
+        self.0.store(left.saturating_sub(bytes), Ordering::Relaxed);
+        bytes <= left
+    }
+}
+
+/// A TCP stream that fails when it receives more than its allowance.
+#[derive(Debug)]
+pub struct HeadLimited {
+    stream: TcpStream,
+    allowance: Allowance,
+}
+
+impl HeadLimited {
+    /// Creates a stream that may receive what `allowance` allows.
+    pub fn new(stream: TcpStream, allowance: Allowance) -> Self {
+        Self { stream, allowance }
+    }
+}
+
+impl AsyncRead for HeadLimited {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if let Poll::Ready(Ok(())) = read
+            && !self.allowance.spend(buffer.filled().len() - before)
+        {
+            return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
+        }
+        read
+    }
+}
+
+impl AsyncWrite for HeadLimited {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/src/web/mod.rs
+++ b/src/web/mod.rs
@@ -29,6 +29,7 @@
 use tokio::sync::watch;
 
 pub mod client;
+mod head_limit;
 pub mod pool;
 
 /// Body type of every response.
--- a/src/web/pool.rs
+++ b/src/web/pool.rs
@@ -16,6 +16,9 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
+use crate::web::head_limit::Allowance;
+use crate::web::head_limit::HeadLimited;
+
 /// Maximum number of received bytes that a connection buffers for its reader.
 const MAX_BUFFER_BYTES: usize = 16 * 1024;
 
@@ -58,6 +61,7 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
+    allowance: Allowance,
     task: AbortHandle,
     address: SocketAddr,
     idle_until: Instant,
@@ -95,6 +99,8 @@
             let stream = TcpStream::connect(address).await?;
             stream.set_nodelay(true)?;
             set_keepalive(&stream)?;
+            let allowance = Allowance::new();
+            let stream = HeadLimited::new(stream, allowance.clone());
             let (sender, connection) = http1::Builder::new()
                 .max_buf_size(MAX_BUFFER_BYTES)
                 .handshake(TokioIo::new(stream))
@@ -104,6 +110,7 @@
             let task = tokio::spawn(async move { drop(connection.await) });
             Ok(Self {
                 sender,
+                allowance,
                 task: task.abort_handle(),
                 address,
                 idle_until: Instant::now() + IDLE_TIMEOUT,
@@ -124,13 +131,16 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
-        match self.sender.try_send_request(request).await {
+        self.allowance.limit_to_head();
+        let sent = self.sender.try_send_request(request).await;
+        self.allowance.remove_limit();
+        match sent {
             Ok(response) => Ok(response),
             Err(mut e) => {
                 let is_unsent = e.take_message().is_some();
                 Err(match e.into_error() {
                     _ if is_unsent => SendError::NotSent,
-                    e if e.is_parse() => SendError::Garbled,
+                    e if e.is_parse() || is_invalid_data(&e) => SendError::Garbled,
                     _ => SendError::Cut,
                 })
             }
@@ -144,6 +154,12 @@
     }
 }
 
+/// Returns whether more bytes arrived than a head may have.
+fn is_invalid_data(e: &hyper::Error) -> bool {
+    let cause = std::error::Error::source(e).and_then(|e| e.downcast_ref::<io::Error>());
+    cause.is_some_and(|e| e.kind() == io::ErrorKind::InvalidData)
+}
+
 /// Idle connections to one server.
 #[derive(Debug)]
 struct ServerConnections {
--- a/tests/decisions/sse.rs
+++ b/tests/decisions/sse.rs
@@ -23,7 +23,7 @@
         let mut rest = text.as_bytes();
         while !rest.is_empty() {
             let (part, left) = rest.split_at(rng.random_range(1..=rest.len().min(30)));
-            let events = buffer.push(part);
+            let events = buffer.push(part).unwrap();
             assert!(
                 events.is_empty() || events.ends_with(b"\n\n"),
                 "part of an event passed"
@@ -40,12 +40,15 @@
 fn the_start_of_an_event_is_buffered_and_can_be_discarded() {
     let mut buffer = EventBuffer::new();
     assert_eq!(
-        buffer.push(b"id: 1\ndata: a\n\nid: 2\nda"),
+        buffer.push(b"id: 1\ndata: a\n\nid: 2\nda").unwrap(),
         "id: 1\ndata: a\n\n"
     );
     assert!(buffer.has_partial());
     buffer.clear();
-    assert_eq!(buffer.push(b"id: 2\ndata: b\n\n"), "id: 2\ndata: b\n\n");
+    assert_eq!(
+        buffer.push(b"id: 2\ndata: b\n\n").unwrap(),
+        "id: 2\ndata: b\n\n"
+    );
 }
 
 #[test]
@@ -55,3 +58,11 @@
     let joined: Vec<u8> = sse::events(&bytes).flatten().collect();
     assert_eq!(joined, bytes);
 }
+
+#[test]
+fn an_event_without_end_is_not_buffered_for_ever() {
+    let mut buffer = EventBuffer::new();
+    let part = [b'a'; 16 * 1024];
+    let refused = (0..1_000).find(|_| buffer.push(&part).is_err());
+    assert_eq!(refused, Some(sse::MAX_EVENT_BYTES / part.len()));
+}
--- a/tests/entry/requests.rs
+++ b/tests/entry/requests.rs
@@ -39,8 +39,9 @@
 /// Timeout for anything that must happen.
 const TIMEOUT: Duration = Duration::from_secs(10);
 
-struct Harness {
-    front: SocketAddr,
+/// An entry in front of one backend server.
+pub struct Harness {
+    pub front: SocketAddr,
     lines: channel::Receiver<String>,
     runs: Arc<AtomicUsize>,
     cancelled: Arc<AtomicUsize>,
@@ -182,6 +183,15 @@
         } else {
             free_port().await
         };
+        Self {
+            runs,
+            cancelled,
+            ..Self::with_backend(address).await
+        }
+    }
+
+    /// Starts an entry with a backend server at `address`.
+    pub async fn with_backend(address: SocketAddr) -> Self {
         let mut object = fakes::backend("i-1", 1);
         if let Content::Backend(server) = &mut object.content {
             server.address = address;
@@ -225,8 +235,8 @@
         Self {
             front,
             lines,
-            runs,
-            cancelled,
+            runs: Arc::default(),
+            cancelled: Arc::default(),
             entry,
             _stop: stop,
         }
@@ -244,7 +254,7 @@
     }
 
     /// Sends a request and returns its status.
-    async fn call(&self, method: &str, path: &str, id: &str, key: &str) -> u16 {
+    pub async fn call(&self, method: &str, path: &str, id: &str, key: &str) -> u16 {
         let head = format!(
             "{method} {path} HTTP/1.1\r\nhost: shop\r\nx-cassialock-request-id: {id}\r\n\
              authorization: Token {key}\r\nx-cassialock-deadline-ms: 2000\r\n\
