--- a/src/core/peer.rs
+++ b/src/core/peer.rs
@@ -87,6 +87,8 @@
 }
 
 /// Statuses that one datagram carries.
+///
+/// Nodes of this build forward none; the field keeps the encoding of earlier ones.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Heartbeat {
     /// Status of the sender.
@@ -268,22 +270,6 @@
         (nodes, sum)
     }
 
-    /// Returns the most recently received statuses, to forward them.
-    pub fn recently_heard(&self, count: usize, now: Time) -> Vec<NodeStatus> {
-        let mut entries: Vec<&PeerEntry> = self
-            .entries
-            .iter()
-            .map(|(_, entry)| entry)
-            .filter(|entry| is_live(entry, now))
-            .collect();
-        entries.sort_by_key(|entry| std::cmp::Reverse(entry.last_update));
-        entries.truncate(count);
-        entries
-            .into_iter()
-            .map(|entry| entry.status.clone())
-            .collect()
-    }
-
     /// Iterates over the request counts of all other nodes, including stopped ones.
     pub fn request_counts(&self) -> impl Iterator<Item = &WindowCounts> {
         let present = self
--- a/src/core/relay.rs
+++ b/src/core/relay.rs
@@ -1,5 +1,9 @@
 //! Selection of the relays: the nodes that watch the store for all others.
 //!
+//! This holds for a deployment whose nodes all hear each other. In a larger one,
+//! the first aggregator of each failure domain is its relay; see
+//! [`crate::core::aggregate`].
+//!
 //! Every call to the store costs money and counts against a shared rate limit,
 //! while calls between nodes are free. Therefore only a few nodes, the relays,
 //! watch the store, and every other node polls one relay several times a
--- /dev/null
+++ b/tests/entry/aggregation.rs
@@ -0,0 +1,154 @@
+//! Entries of a deployment that is too large for heartbeats between all.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use cassialock::clock::Clock;
+use cassialock::core::Name;
+use cassialock::core::catalog::Catalog;
+use cassialock::entry::Entry;
+use cassialock::entry::adapter::Adapter;
+use cassialock::entry::membership::Registration;
+use cassialock::entry::membership::datagrams;
+use cassialock::platform::protocol::HeaderProtocol;
+use cassialock::telemetry::events::EventLog;
+use tokio::net::UdpSocket;
+use tokio::task::JoinHandle;
+
+use crate::fakes;
+use crate::fakes::FakeCloud;
+use crate::fakes::FakeStore;
+use crate::fakes::Script;
+
+const DOMAINS: usize = 3;
+const COUNT: usize = 24;
+
+/// Longest time until the entries have agreed again.
+const TIMEOUT: Duration = Duration::from_secs(15);
+
+struct Node {
+    entry: Arc<Entry>,
+    tasks: [JoinHandle<()>; 2],
+}
+
+/// Records the answers of a store, which an entry asks only while it has no relay.
+async fn answer_as_store(entry: Arc<Entry>) {
+    loop {
+        let now = entry.clock.now();
+        if !entry.relay.is_relayed(now) {
+            entry.catalog.confirm(now);
+            entry.relay.record_response(now);
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
+fn entry(index: usize, socket: &UdpSocket, clock: Clock) -> Arc<Entry> {
+    let mut settings = fakes::settings();
+    settings.node = format!("n{index}").into();
+    settings.domain = format!("d{}", index % DOMAINS).into();
+    settings.domains = (0..DOMAINS).map(|at| format!("d{at}").into()).collect();
+    settings.peer = socket.local_addr().unwrap();
+    let node = settings.node.clone();
+    let adapter = Adapter {
+        dialect: Box::new(HeaderProtocol::new()),
+        store: Box::new(FakeStore(Arc::new(Script::default()))),
+        cloud: Box::new(FakeCloud),
+    };
+    let events = EventLog::with_sender(node, clock, None);
+    let entry = Arc::new(Entry::new(settings, adapter, events, clock));
+    entry.catalog.install(Catalog::new(1));
+    entry.relay.record_list(5);
+    entry.membership.set_incarnation(index as u64 + 1);
+    entry
+}
+
+async fn start() -> Vec<Node> {
+    let clock = Clock::new();
+    let mut sockets = Vec::new();
+    for _ in 0..COUNT {
+        let socket = datagrams::bind(([127, 0, 0, 1], 0).into()).await.unwrap();
+        sockets.push(socket);
+    }
+    let entries: Vec<Arc<Entry>> = sockets
+        .iter()
+        .enumerate()
+        .map(|(index, socket)| entry(index, socket, clock))
+        .collect();
+    for known in &entries {
+        let settings = known.settings.load();
+        let registration = Registration {
+            front: settings.front.unwrap(),
+            peer: settings.peer,
+            domain: settings.domain.clone(),
+            started: 1,
+            millicores: settings.millicores,
+        };
+        for entry in &entries {
+            let registered = Some((registration.clone(), 1));
+            let now = entry.clock.now();
+            entry
+                .membership
+                .set_registration(&settings.node, registered, now);
+        }
+    }
+    let start = |(entry, socket): (Arc<Entry>, UdpSocket)| Node {
+        tasks: [
+            tokio::spawn(datagrams::run(Arc::clone(&entry), socket)),
+            tokio::spawn(answer_as_store(Arc::clone(&entry))),
+        ],
+        entry,
+    };
+    entries.into_iter().zip(sockets).map(start).collect()
+}
+
+/// Returns the nodes that follow the store themselves.
+fn followers(nodes: &[Node]) -> Vec<Name> {
+    nodes
+        .iter()
+        .filter(|node| !node.entry.relay.is_relayed(node.entry.clock.now()))
+        .map(|node| node.entry.settings.load().node.clone())
+        .collect()
+}
+
+/// Waits until one node of each failure domain follows the store, and returns these.
+async fn wait_agreed(nodes: &[Node]) -> Vec<Name> {
+    let began = Instant::now();
+    loop {
+        let found = followers(nodes);
+        if found.len() == DOMAINS {
+            return found;
+        }
+        assert!(began.elapsed() < TIMEOUT, "{found:?} follow the store");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
+#[tokio::test]
+async fn one_entry_of_each_domain_follows_the_store_and_is_replaced() {
+    let mut nodes = start().await;
+    let relays = wait_agreed(&nodes).await;
+    let is_candidate = |node: &Node, name| {
+        let now = node.entry.clock.now();
+        node.entry.membership.is_lease_candidate(name, None, now)
+    };
+    let began = Instant::now();
+    while !nodes.iter().all(|node| is_candidate(node, "n0")) {
+        assert!(began.elapsed() < TIMEOUT, "the entries disagree");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    assert!(!nodes.iter().any(|node| is_candidate(node, "n1")));
+    // All relays stop at once.
+    nodes.retain(|node| {
+        let is_relay = relays.contains(&node.entry.settings.load().node);
+        if is_relay {
+            node.tasks.iter().for_each(JoinHandle::abort);
+        }
+        !is_relay
+    });
+    // The stopped relays are noticed by their silence.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let replaced = wait_agreed(&nodes).await;
+    assert!(replaced.iter().all(|relay| !relays.contains(relay)));
+}
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -1,5 +1,6 @@
 //! Tests of entries against a fake store and a fake cloud.
 
+mod aggregation;
 mod endless;
 mod fakes;
 mod feeds;
