Read the first catalog of a large deployment from the store itself

Change: the first catalog is read from the store; later ones may be cached.

The test in tests/entry/feeds fails without the change.

--- a/src/entry/feeds/catalog.rs
+++ b/src/entry/feeds/catalog.rs
@@ -69,6 +69,12 @@
             .mul_f64(CONFIRM_FRACTION)
     }
 
+    /// The first catalog is read from the store itself, so that keys can be accepted
+    /// at once.
+    fn accepts_cached(&self, entry: &Entry) -> bool {
+        entry.catalog.version() > 0 && entry.membership.is_aggregated()
+    }
+
     fn is_up_to_date(&self, entry: &Entry) -> bool {
         entry.catalog.version() >= entry.relay.catalog_version()
     }
--- a/tests/entry/feeds.rs
+++ b/tests/entry/feeds.rs
@@ -138,3 +138,21 @@
     let relayed = calls(true).await;
     assert!((10..=20).contains(&relayed), "{relayed} calls in 10 s");
 }
+
+/// After all entries were restarted, keys were refused for a second, since a cached
+/// catalog is not known to be the newest.
+#[tokio::test(start_paused = true)]
+async fn the_first_catalog_of_a_large_deployment_is_confirmed_at_once() {
+    let script = script(Vec::new());
+    let entry = fakes::entry(&script);
+    fakes::add_peers(&entry, 12);
+    for index in 0..8 {
+        let status = fakes::status(&format!("more-{index}"));
+        entry.membership.merge(status, entry.clock.now());
+    }
+    assert!(entry.membership.is_aggregated());
+    let task = tokio::spawn(feeds::catalog::follow(Arc::clone(&entry)));
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    task.abort();
+    assert!(entry.catalog.age(entry.clock.now()).is_some());
+}
