Log the prompt parts of requests whose server was cut off

Cause: the lines of a crash did not show what the cut requests have in common, so the hypotheses on BUDGET could not be told apart. Change: attempt_failed and answer_broken name the shared prompt parts, at most eight.

--- a/src/core/request.rs
+++ b/src/core/request.rs
@@ -56,6 +56,11 @@
         Some(state.digest())
     }
 
+    /// Returns the parts of the prompt that other requests may share.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+
     /// Returns the sum of prompt and output tokens, if the request states them.
     pub fn total_tokens(&self) -> Option<u64> {
         let tokens = self.tokens?;
--- a/src/entry/call/forward.rs
+++ b/src/entry/call/forward.rs
@@ -19,6 +19,7 @@
 use crate::core::sse::EventBuffer;
 use crate::entry::backends::ChosenBackend;
 use crate::entry::backends::InFlight;
+use crate::entry::call;
 use crate::entry::call::AttemptError;
 use crate::entry::call::Call;
 use crate::entry::call::attempt::ServerResponse;
@@ -343,6 +344,7 @@
                 .with("route", &*call.route.name)
                 .with("backend", call.tried.last().map_or("", |id| &**id))
                 .with("cause", cause.as_str())
+                .with("prompt_parts", call::format_parts(&call.request))
                 .with("bytes", self.bytes)
                 .with("resumes", self.resumes)
                 .with_ms("after_ms", call.entry.clock.now().since(call.arrived)),
--- a/src/entry/call/mod.rs
+++ b/src/entry/call/mod.rs
@@ -51,6 +51,9 @@
 /// Memory reserved for an open request in addition to its body.
 const REQUEST_OVERHEAD_BYTES: usize = 48 * 1024;
 
+/// Maximum number of prompt parts in an event.
+const MAX_LOGGED_PARTS: usize = 8;
+
 /// A request of a caller and the state of its attempts.
 pub struct Call {
     entry: Arc<Entry>,
@@ -133,6 +136,13 @@
     entry.adapter.dialect.refuse(refusal)
 }
 
+/// Returns the shared prompt parts of a request, as they are logged.
+fn format_parts(request: &RequestInfo) -> String {
+    let shared = request.shared_parts().iter().take(MAX_LOGGED_PARTS);
+    let ids: Vec<String> = shared.map(|part| format!("{:x}", part.id)).collect();
+    ids.join(",")
+}
+
 /// Returns the delay after which a caller may retry, with random jitter.
 fn retry_delay(entry: &Entry) -> Duration {
     MIN_RETRY_AFTER + entry.jitter(RETRY_JITTER)
@@ -377,6 +387,7 @@
                 .with("route", &*self.route.name)
                 .with("backend", self.tried.last().map_or("", |id| &**id))
                 .with("cause", cause.as_str())
+                .with("prompt_parts", format_parts(&self.request))
                 .with("runs", self.attempts.runs)
                 .with("sends", self.attempts.sends)
                 .with("decision", format!("{decision:?}"))
--- a/tests/entry/requests.rs
+++ b/tests/entry/requests.rs
@@ -409,6 +409,7 @@
     assert_eq!(harness.call("POST", "/order/cut", "q-1", "k-1").await, 502);
     let lines = harness.lines_of("q-1");
     assert_eq!(lines[0]["cause"], "cut");
+    assert_eq!(lines[0]["prompt_parts"], "");
     assert_eq!(lines[0]["decision"], "NotRepeatable");
     assert_eq!(lines.last().unwrap()["verdict"], "may_have_run");
 }
