--- /dev/null
+++ b/tests/entry/crashing.rs
@@ -0,0 +1,159 @@
+//! Requests that crash the backend servers that run them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+use crate::requests::Harness;
+
+/// Part of a prompt that crashes every server that begins to answer it.
+const DEADLY: &str = "dead";
+
+/// Time from the fifth crash on within which the requests must be kept away.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+
+/// Crashes from which [`CONTACT_TIME`] runs.
+const CRASHES: usize = 5;
+
+/// Requests that may still reach servers after that.
+const MAX_ARRIVALS: usize = 3;
+
+/// Pause between two requests.
+const PAUSE: Duration = Duration::from_millis(60);
+
+/// Counts what arrives at all servers.
+#[derive(Default)]
+struct Arrivals {
+    deadly: AtomicUsize,
+    sound: AtomicUsize,
+}
+
+async fn read_head(stream: &mut TcpStream) -> Option<String> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.ok()?);
+    }
+    Some(String::from_utf8_lossy(&head).into_owned())
+}
+
+/// Starts a server that ends for good at the first request with [`DEADLY`].
+async fn start_server(arrivals: Arc<Arrivals>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (crash, crashed) = tokio::sync::watch::channel(false);
+        let accepting = async {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let (arrivals, crash) = (Arc::clone(&arrivals), crash.clone());
+                let mut crashed = crashed.clone();
+                tokio::spawn(async move {
+                    tokio::select! {
+                        _ = serve(&mut stream, &arrivals, &crash) => {}
+                        _ = crashed.wait_for(|crashed| *crashed) => {}
+                    }
+                });
+            }
+        };
+        let mut crashed = crash.subscribe();
+        tokio::select! {
+            () = accepting => {}
+            _ = crashed.wait_for(|crashed| *crashed) => {}
+        }
+    });
+    address
+}
+
+async fn serve(
+    stream: &mut TcpStream,
+    arrivals: &Arrivals,
+    crash: &tokio::sync::watch::Sender<bool>,
+) -> Option<()> {
+    loop {
+        let head = read_head(stream).await?;
+        if head.contains(DEADLY) {
+            arrivals.deadly.fetch_add(1, Ordering::Relaxed);
+            crash.send_replace(true);
+            return None;
+        }
+        arrivals.sound.fetch_add(1, Ordering::Relaxed);
+        let id = head
+            .lines()
+            .find_map(|line| line.strip_prefix("x-cassialock-request-id: "))?;
+        let body = "id: 1\ndata: 1\n\n";
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\nx-cassialock-response-stamp: s\r\n\
+             x-cassialock-request-id: {id}\r\ncontent-type: text/event-stream\r\n\
+             content-length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        stream.write_all(answer.as_bytes()).await.ok()?;
+    }
+}
+
+/// Sends a request whose prompt has `parts`, and returns the status of the answer.
+async fn call(harness: &Harness, id: usize, parts: &str) -> u16 {
+    let body = format!("question {id}");
+    harness
+        .call_with(
+            "POST",
+            "/draft/x",
+            &format!("q-{id}"),
+            &format!("x-cassialock-prompt-prefix: {parts}:10,{id:x}:5\r\n"),
+            &body,
+        )
+        .await
+}
+
+/// Requests that crash servers must not go on reaching them because no two have the
+/// same body, and sound requests that share the other parts must be served.
+#[tokio::test]
+#[ignore = "KNOWN-RED.txt 11"]
+async fn a_prompt_part_that_crashes_servers_is_kept_away_from_them() {
+    let arrivals = Arc::new(Arrivals::default());
+    let mut servers = Vec::new();
+    for _ in 0..60 {
+        servers.push(start_server(Arc::clone(&arrivals)).await);
+    }
+    let harness = Harness::with_backends(&servers).await;
+    let mut fifth = None;
+    let mut late = 0;
+    let (mut asked, mut served) = (0, 0);
+    let began = Instant::now();
+    for id in (0..).step_by(3) {
+        call(&harness, id, &format!("a1:100,b1:20,{DEADLY}")).await;
+        for (offset, parts) in [(1, "a1:100,b1"), (2, "a1:100,b2")] {
+            let is_late = fifth.is_some_and(|at: Instant| at.elapsed() > CONTACT_TIME);
+            let status = call(&harness, id + offset, parts).await;
+            asked += usize::from(is_late);
+            served += usize::from(is_late && status == 200);
+        }
+        let count = arrivals.deadly.load(Ordering::Relaxed);
+        match fifth {
+            None if count >= CRASHES => fifth = Some(Instant::now()),
+            Some(at) if at.elapsed() < CONTACT_TIME => late = count,
+            Some(at) if at.elapsed() > CONTACT_TIME * 2 => break,
+            _ => {}
+        }
+        if fifth.is_none() && began.elapsed() > CONTACT_TIME * 3 {
+            break;
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    let count = arrivals.deadly.load(Ordering::Relaxed);
+    if fifth.is_some() {
+        assert!(
+            count - late <= MAX_ARRIVALS,
+            "{count} arrived, {late} in time"
+        );
+        assert!(asked > 20 && served == asked, "{served} of {asked} served");
+    }
+    assert!(arrivals.sound.load(Ordering::Relaxed) > 40);
+}
--- a/tests/entry/requests.rs
+++ b/tests/entry/requests.rs
@@ -192,21 +192,27 @@
 
     /// Starts an entry with a backend server at `address`.
     pub async fn with_backend(address: SocketAddr) -> Self {
-        let mut object = fakes::backend("i-1", 1);
-        if let Content::Backend(server) = &mut object.content {
-            server.address = address;
+        Self::with_backends(&[address]).await
+    }
+
+    /// Starts an entry with a backend server at each of the addresses.
+    pub async fn with_backends(addresses: &[SocketAddr]) -> Self {
+        let mut objects = vec![Object {
+            name: "main".into(),
+            revision: 1,
+            content: Content::Catalog(Box::new(catalog())),
+        }];
+        for (index, address) in addresses.iter().enumerate() {
+            let mut object = fakes::backend(&format!("i-{}", index + 1), 1);
+            if let Content::Backend(server) = &mut object.content {
+                server.address = *address;
+            }
+            objects.push(object);
         }
         let script = Arc::new(Script::default());
         *script.listing.lock().unwrap() = Listing {
             revision: 1,
-            objects: vec![
-                object,
-                Object {
-                    name: "main".into(),
-                    revision: 1,
-                    content: Content::Catalog(Box::new(catalog())),
-                },
-            ],
+            objects,
         };
         let mut settings = fakes::settings();
         let front = free_port().await;
@@ -255,12 +261,31 @@
 
     /// Sends a request and returns its status.
     pub async fn call(&self, method: &str, path: &str, id: &str, key: &str) -> u16 {
-        let head = format!(
+        let key = format!("authorization: Token {key}\r\n");
+        self.exchange(method, path, id, &key, "").await
+    }
+
+    /// Sends a request with further headers and a body, and returns its status.
+    pub async fn call_with(
+        &self,
+        method: &str,
+        path: &str,
+        id: &str,
+        headers: &str,
+        body: &str,
+    ) -> u16 {
+        let headers = format!("authorization: Token k-1\r\n{headers}");
+        self.exchange(method, path, id, &headers, body).await
+    }
+
+    async fn exchange(&self, method: &str, path: &str, id: &str, headers: &str, body: &str) -> u16 {
+        let request = format!(
             "{method} {path} HTTP/1.1\r\nhost: shop\r\nx-cassialock-request-id: {id}\r\n\
-             authorization: Token {key}\r\nx-cassialock-deadline-ms: 2000\r\n\
-             content-length: 0\r\nconnection: close\r\n\r\n"
+             {headers}x-cassialock-deadline-ms: 2000\r\n\
+             content-length: {}\r\nconnection: close\r\n\r\n{body}",
+            body.len()
         );
-        status(&self.send(&head).await)
+        status(&self.send(&request).await)
     }
 
     /// Returns the event lines of a request, found by its id as an operator would.
