Break off a stream that ends inside an event

What callers saw: an answer of a stream that cannot be resumed, whose server ended the connection in order in the middle of an event, looked complete. Cause: only resumable streams were read event by event; of the others the end of the connection was taken as the end of the answer. Change: sse::Boundary follows the events of streams that are forwarded as they arrive; an end inside an event breaks the answer off.

--- a/src/core/sse.rs
+++ b/src/core/sse.rs
@@ -64,6 +64,38 @@
     }
 }
 
+/// Tells whether a stream that is forwarded as it arrives is between two events.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Boundary {
+    has_bytes: bool,
+    /// Line ends since the last other byte.
+    line_ends: usize,
+}
+
+impl Boundary {
+    /// Creates the state of a stream that has not begun.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Records bytes of the stream.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.has_bytes |= !bytes.is_empty();
+        for byte in bytes {
+            match byte {
+                b'\n' => self.line_ends += 1,
+                b'\r' => {}
+                _ => self.line_ends = 0,
+            }
+        }
+    }
+
+    /// Returns whether an event has begun and is not complete.
+    pub fn is_inside(&self) -> bool {
+        self.has_bytes && self.line_ends < TERMINATOR.len()
+    }
+}
+
 /// Iterates over complete events, each including its terminator.
 pub fn events(bytes: &Bytes) -> impl Iterator<Item = Bytes> {
     let mut rest = bytes.clone();
--- a/src/entry/call/forward.rs
+++ b/src/entry/call/forward.rs
@@ -69,6 +69,8 @@
     call: Call,
     upstream: Option<Upstream>,
     event_buffer: EventBuffer,
+    /// Where in an event a stream is that is forwarded as it arrives.
+    boundary: sse::Boundary,
     /// Whether any data of the response has arrived.
     has_data: bool,
     /// Whether a failure was recorded for the server because of the current stall.
@@ -180,6 +182,7 @@
             call,
             upstream: Some(upstream),
             event_buffer: EventBuffer::new(),
+            boundary: sse::Boundary::new(),
             has_data: false,
             stall_reported: false,
             bytes: 0,
@@ -207,6 +210,7 @@
     /// Returns the next bytes for the caller.
     async fn next(&mut self) -> Next {
         loop {
+            let is_inside_event = self.is_inside_event();
             let Some(upstream) = &mut self.upstream else {
                 return Next::End;
             };
@@ -226,7 +230,7 @@
                     // Trailers and empty frames are not forwarded.
                     _ => continue,
                 },
-                Ok(None) if !self.event_buffer.has_partial() => {
+                Ok(None) if !is_inside_event => {
                     self.finish();
                     return Next::End;
                 }
@@ -270,6 +274,7 @@
         self.stall_reported = false;
         self.call.record_progress(false);
         if !self.call.is_resumable() {
+            self.boundary.push(&data);
             self.bytes += data.len() as u64;
             return Ok(Some(data));
         }
@@ -289,6 +294,12 @@
         Ok(Some(complete))
     }
 
+    /// Returns whether the stream would be broken off if it ended now.
+    fn is_inside_event(&self) -> bool {
+        self.event_buffer.has_partial()
+            || self.call.route.kind.is_stream() && self.boundary.is_inside()
+    }
+
     /// Drops the current upstream and records its failure.
     fn fail_upstream(&mut self, cause: Cause) {
         self.event_buffer.clear();
--- a/tests/decisions/sse.rs
+++ b/tests/decisions/sse.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use cassialock::core::sse;
+use cassialock::core::sse::Boundary;
 use cassialock::core::sse::EventBuffer;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -66,3 +67,20 @@
     let refused = (0..1_000).find(|_| buffer.push(&part).is_err());
     assert_eq!(refused, Some(sse::MAX_EVENT_BYTES / part.len()));
 }
+
+#[test]
+fn a_stream_is_inside_an_event_until_its_terminator_has_arrived() {
+    let mut boundary = Boundary::new();
+    assert!(!boundary.is_inside());
+    for (bytes, is_inside) in [
+        ("id: 1\n", true),
+        ("data: one", true),
+        ("\n", true),
+        ("\n", false),
+        ("id: 2\r\n", true),
+        ("\r\n", false),
+    ] {
+        boundary.push(bytes.as_bytes());
+        assert_eq!(boundary.is_inside(), is_inside, "{bytes:?}");
+    }
+}
--- a/tests/entry/crashing.rs
+++ b/tests/entry/crashing.rs
@@ -7,11 +7,18 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use cassialock::core::quarantine::features::Feature;
+use cassialock::core::quarantine::features::Features;
+use cassialock::entry::Entry;
+use cassialock::entry::feeds;
+use cassialock::entry::quarantine;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
+use crate::fakes;
+use crate::fakes::Script;
 use crate::requests::Harness;
 
 /// Part of a prompt that crashes every server that begins to answer it.
@@ -156,3 +163,42 @@
     }
     assert!(arrivals.sound.load(Ordering::Relaxed) > 40);
 }
+
+/// Returns the features of a request with a certain part.
+fn features(id: u64) -> Features {
+    Features::from(vec![Feature::Part(id)])
+}
+
+/// Lets an entry see crashes of requests with a certain part until it is blocked.
+async fn block(entry: &Entry, id: u64) {
+    for n in 0..3 {
+        let server = format!("i-{n}").into();
+        quarantine::record_crash(entry, "q-1", &server, &features(id));
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    quarantine::update(entry);
+    assert!(quarantine::check(entry, &features(id)).is_err());
+}
+
+/// All entries may be killed at once and must not learn it from further crashes.
+#[tokio::test(start_paused = true)]
+async fn a_block_outlasts_the_entries() {
+    let script = Arc::new(Script::default());
+    let entry = fakes::entry(&script);
+    let storing = tokio::spawn(quarantine::run(Arc::clone(&entry)));
+    block(&entry, 7).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    storing.abort();
+    let written = script.written.lock().unwrap().clone();
+    assert_eq!(written.len(), 1, "a block is stored once");
+    let script = Arc::new(Script::default());
+    script.listing.lock().unwrap().objects = written;
+    let restarted = fakes::entry(&script);
+    assert!(quarantine::check(&restarted, &features(7)).is_ok());
+    let feed = tokio::spawn(feeds::quarantine::follow(Arc::clone(&restarted)));
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    feed.abort();
+    assert!(quarantine::check(&restarted, &features(7)).is_err());
+    assert!(quarantine::check(&restarted, &features(8)).is_ok());
+}
--- a/tests/entry/fakes.rs
+++ b/tests/entry/fakes.rs
@@ -52,12 +52,14 @@
     AfterWait,
 }
 
-/// Scripts the responses of a [`FakeStore`] and records its watch calls.
+/// Scripts the responses of a [`FakeStore`] and records its watch calls and writes.
 #[derive(Default)]
 pub struct Script {
     pub listing: Mutex<Listing>,
     pub answers: Mutex<VecDeque<Answer>>,
     pub watches: Mutex<Vec<WatchCall>>,
+    /// Blocks of crashing requests that were written.
+    pub written: Mutex<Vec<Object>>,
 }
 
 /// Answers watch calls from a script and always lists the same objects.
@@ -106,11 +108,18 @@
 
     fn write(
         &self,
-        _kind: ObjectKind,
-        _name: &str,
+        kind: ObjectKind,
+        name: &str,
         _revision: Option<u64>,
-        _value: &Value,
+        value: &Value,
     ) -> BoxFuture<'_, Result<u64, StoreError>> {
+        if kind == ObjectKind::Quarantine {
+            self.0.written.lock().unwrap().push(Object {
+                name: name.into(),
+                revision: 1,
+                content: Content::Record(value.clone()),
+            });
+        }
         Box::pin(async { Ok(1) })
     }
 
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -8,3 +8,4 @@
 mod limits;
 mod relay;
 mod requests;
+mod unframed;
--- /dev/null
+++ b/tests/entry/unframed.rs
@@ -0,0 +1,101 @@
+//! Answers that have neither a length nor chunks and end with their connection.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+use crate::requests::Harness;
+
+/// Timeout for anything that must happen.
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+const HEAD: &str = "HTTP/1.1 200 OK\r\nx-cassialock-response-stamp: s\r\n\
+                    x-cassialock-request-id: q-1\r\n";
+
+/// Starts a server that sends `answer` and ends the connection, with a reset if
+/// `is_reset`.
+async fn server(answer: String, is_reset: bool) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let answer = answer.clone();
+            tokio::spawn(async move {
+                let mut head = Vec::new();
+                while !head.ends_with(b"\r\n\r\n") {
+                    head.push(stream.read_u8().await.unwrap_or(b'\n'));
+                }
+                stream.write_all(answer.as_bytes()).await.unwrap();
+                tokio::time::sleep(Duration::from_millis(100)).await;
+                if is_reset {
+                    stream.set_zero_linger().unwrap();
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Returns all bytes of the answer, and whether it is complete for its caller.
+async fn call(harness: &Harness, path: &str) -> (String, bool) {
+    let mut stream = TcpStream::connect(harness.front).await.unwrap();
+    let head = format!(
+        "POST {path} HTTP/1.1\r\nhost: shop\r\nx-cassialock-request-id: q-1\r\n\
+         authorization: Token k-1\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await.unwrap();
+    let mut answer = Vec::new();
+    let reading = stream.read_to_end(&mut answer);
+    let _ = tokio::time::timeout(TIMEOUT, reading).await.unwrap();
+    let answer = String::from_utf8_lossy(&answer).into_owned();
+    let is_chunked = answer
+        .to_ascii_lowercase()
+        .contains("transfer-encoding: chunked");
+    let is_complete =
+        answer.starts_with("HTTP/1.1 200") && (!is_chunked || answer.ends_with("\r\n0\r\n\r\n"));
+    (answer, is_complete)
+}
+
+#[tokio::test]
+async fn an_answer_that_ends_with_its_connection_is_forwarded_whole() {
+    for path in ["/read/x", "/order/x", "/draft/x", "/follow/x"] {
+        let events = "id: 1\ndata: one\n\nid: 2\ndata: two\n\n";
+        let address = server(format!("{HEAD}\r\n{events}"), false).await;
+        let harness = Harness::with_backend(address).await;
+        let (answer, is_complete) = call(&harness, path).await;
+        assert!(is_complete, "{path}: {answer}");
+        assert!(answer.contains("data: two\n\n"), "{path}: {answer}");
+    }
+}
+
+#[tokio::test]
+async fn an_answer_without_length_that_is_reset_does_not_look_complete() {
+    for path in ["/read/x", "/order/x", "/draft/x"] {
+        let address = server(format!("{HEAD}\r\nid: 1\ndata: one\n\n"), true).await;
+        let harness = Harness::with_backend(address).await;
+        let (answer, is_complete) = call(&harness, path).await;
+        assert!(!is_complete, "{path}: {answer}");
+    }
+}
+
+/// The connection ends in order, so only the events show that the stream was cut.
+#[tokio::test]
+async fn a_stream_that_ends_inside_an_event_does_not_look_complete() {
+    let cut = "id: 1\ndata: one\n\nid: 2\nda";
+    let chunks = format!(
+        "transfer-encoding: chunked\r\n\r\n{:x}\r\n{cut}\r\n0\r\n",
+        cut.len()
+    );
+    for (framing, body) in [("", cut), (chunks.as_str(), "")] {
+        for path in ["/draft/x", "/follow/x"] {
+            let address = server(format!("{HEAD}{framing}\r\n{body}"), false).await;
+            let harness = Harness::with_backend(address).await;
+            let (answer, is_complete) = call(&harness, path).await;
+            assert!(!is_complete, "{path} {framing:?}: {answer}");
+        }
+    }
+}
