Read the limit that a backend server names, and log it

Change: the adapter decodes Server-Limit; backend_limit is written when it changes. Nothing is decided by it yet.

--- a/src/core/route/servers.rs
+++ b/src/core/route/servers.rs
@@ -98,6 +98,7 @@
     mean_reported: f64,
     mean_own: f64,
     request_ms: f64,
+    rate_limit: Option<f64>,
     index: prefix::Index,
 }
 
@@ -115,6 +116,7 @@
             mean_reported: 0.0,
             mean_own: 0.0,
             request_ms: 0.0,
+            rate_limit: None,
             index: prefix::Index::new(),
         }
     }
@@ -288,6 +290,15 @@
         }
     }
 
+    /// Records the request rate that a server accepts from all nodes together, and
+    /// returns whether it is new.
+    pub fn record_rate_limit(&mut self, id: &str, limit: Option<f64>) -> bool {
+        let Some(server) = self.by_id.get_mut(id) else {
+            return false;
+        };
+        std::mem::replace(&mut server.rate_limit, limit) != limit
+    }
+
     /// Counts a request as in flight at a server, and its prompt blocks as cached there.
     pub fn begin_request(&mut self, id: &str, block_hashes: &[u64]) {
         if let Some(server) = self.by_id.get_mut(id) {
--- a/src/entry/adapter.rs
+++ b/src/entry/adapter.rs
@@ -75,7 +75,7 @@
 }
 
 /// Holds the parsed head of a backend server's response.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseInfo {
     /// Id of the request that the response belongs to.
     pub request_id: Option<Name>,
@@ -87,6 +87,9 @@
     pub is_signed: bool,
     /// Load reported by the server.
     pub load: Option<LoadReport>,
+    /// Requests per second that the server accepts from all nodes together, if it
+    /// limits them.
+    pub rate_limit: Option<f64>,
     /// Time after which the server closes an idle connection.
     pub idle_timeout: Option<Duration>,
     /// Whether the server closes the connection after the response.
--- a/src/entry/backends.rs
+++ b/src/entry/backends.rs
@@ -94,6 +94,20 @@
         state.servers.record_load(&self.id, load, now);
     }
 
+    /// Records the request rate that the server accepts from all entries together.
+    pub fn record_rate_limit(&self, limit: Option<f64>) {
+        let mut state = self.entry.backends.state.lock().unwrap();
+        let is_new = state.servers.record_rate_limit(&self.id, limit);
+        drop(state);
+        if is_new {
+            self.entry.events.write(
+                Event::new("backend_limit")
+                    .with("backend", &*self.id)
+                    .with("limit_per_s", limit),
+            );
+        }
+    }
+
     /// Returns the time since the request was sent.
     pub fn age(&self) -> Duration {
         self.entry.clock.now().since(self.sent)
--- a/src/entry/call/attempt.rs
+++ b/src/entry/call/attempt.rs
@@ -247,6 +247,7 @@
         } else if response.head.status.is_server_error() && self.may_retry_error() {
             Cause::Failed
         } else {
+            response.in_flight.record_rate_limit(info.rate_limit);
             return Ok(response);
         };
         if cause != Cause::Busy {
--- a/src/platform/protocol.rs
+++ b/src/platform/protocol.rs
@@ -58,6 +58,10 @@
 /// commas.
 const SERVER_LOAD: HeaderName = HeaderName::from_static("x-cassialock-server-load");
 
+/// Requests per second that the server takes from all nodes together; absent if it
+/// does not limit them.
+const SERVER_LIMIT: HeaderName = HeaderName::from_static("server-limit");
+
 const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
 
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
@@ -266,6 +270,8 @@
             is_misdirected,
             is_signed: headers.contains_key(RESPONSE_STAMP),
             load: text(headers, &SERVER_LOAD).and_then(parse_load),
+            rate_limit: number(headers, &SERVER_LIMIT)
+                .filter(|rate: &f64| rate.is_finite() && *rate >= 0.0),
             idle_timeout: text(headers, &KEEP_ALIVE).and_then(parse_keep_alive),
             is_closing: has_close(headers),
         }
