Reproduce LIMIT: servers get more requests than the limit they name

Cause: no stand-in named a limit. Change: two tests, one beside a server without limit and one without other servers.

--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -5,6 +5,7 @@
 mod endless;
 mod fakes;
 mod feeds;
+mod limited;
 mod limits;
 mod relay;
 mod requests;
