--- a/tests/contract/adapter.rs
+++ b/tests/contract/adapter.rs
@@ -238,6 +238,8 @@
         ),
         reply(421, &[("x-cassialock-instance-id", "i-2")]),
         reply(500, &[("x-cassialock-server-load", "odd")]),
+        reply(200, &[("server-limit", "5.5")]),
+        reply(200, &[("server-limit", "-1")]),
     ]);
 }
 
