Judge a version by the requests that it did not begin to answer

Cause: only answers that began were judged. Requests that the node or the caller gave up first, the slowest, were no evidence. Change: a request that ends before its answer begins counts as slow if it had waited for longer than the slow limit of its route; response_abandoned names it.

--- a/src/core/moves/detector.rs
+++ b/src/core/moves/detector.rs
@@ -226,6 +226,21 @@
         own.slow += counts.slow;
     }
 
+    /// Records a request on `route` that was given up before its response began.
+    ///
+    /// It counts as slow if it had waited for long enough, and not at all otherwise.
+    pub fn record_unanswered(&mut self, route: &Name, is_new: bool, waited: Duration) {
+        let sample = Sample {
+            is_new,
+            failed: false,
+            latency: waited,
+        };
+        let stats = self.routes.get(route);
+        if stats.is_some_and(|stats| stats.is_slow(&sample)) {
+            self.record(route, &sample);
+        }
+    }
+
     /// Merges the counters of a peer; counters lower than the known ones are
     /// stale.
     pub fn merge(&mut self, node: &Name, evidence: &Evidence) {
--- a/src/entry/call/attempt.rs
+++ b/src/entry/call/attempt.rs
@@ -19,6 +19,7 @@
 use crate::entry::backends::InFlight;
 use crate::entry::call::AttemptError;
 use crate::entry::call::Call;
+use crate::entry::moves::PendingResponse;
 use crate::entry::quarantine;
 use crate::web::pool::Connection;
 use crate::web::pool::SendError;
@@ -57,6 +58,13 @@
     pub async fn attempt(&mut self) -> Result<ServerResponse, AttemptError> {
         let server = self.choose().map_err(AttemptError::Unavailable)?;
         self.tried.push(server.id.clone());
+        self.pending = Some(PendingResponse::new(
+            &self.entry,
+            &self.request.id,
+            &self.service,
+            &self.route.name,
+            &server,
+        ));
         self.answer_began = None;
         self.is_sound = false;
         let in_flight = Backends::begin(&self.entry, &server);
@@ -85,6 +93,11 @@
     /// Records the effects of a failed attempt on usage and on the server's version,
     /// and checks whether the server crashed.
     pub fn record_failure(&mut self, server: &ChosenBackend, cause: Cause) {
+        match self.pending.take() {
+            Some(pending) if cause != Cause::Silent => pending.settle(),
+            // Dropping it records a response that took too long.
+            _ => {}
+        }
         // A streaming request counts as run from its first event on, and the forwarder
         // counts it then.
         let is_incomplete = matches!(cause, Cause::Silent | Cause::Cut);
@@ -101,7 +114,10 @@
     }
 
     /// Records the outcome of a request, by which new versions are judged.
-    pub fn record_outcome(&self, server: &ChosenBackend, failed: bool, latency: Duration) {
+    pub fn record_outcome(&mut self, server: &ChosenBackend, failed: bool, latency: Duration) {
+        if let Some(pending) = self.pending.take() {
+            pending.settle();
+        }
         if !failed {
             self.entry.service_load.count_answered(&self.service);
         }
--- a/src/entry/call/mod.rs
+++ b/src/entry/call/mod.rs
@@ -33,6 +33,7 @@
 use crate::entry::backends::Criteria;
 use crate::entry::backends::Unavailable;
 use crate::entry::moves::Moves;
+use crate::entry::moves::PendingResponse;
 use crate::entry::quarantine;
 use crate::telemetry::events::Event;
 use crate::web;
@@ -75,6 +76,7 @@
     deadline: Time,
     draw: u64,
     attempts: AttemptCounts,
+    pending: Option<PendingResponse>,
     tried: Vec<Name>,
     features: Features,
     /// Time at which the current answer began, on the clock of the fleet.
@@ -231,6 +233,7 @@
         deadline,
         draw,
         attempts: AttemptCounts::default(),
+        pending: None,
         tried: Vec::new(),
         features,
         answer_began: None,
--- a/src/entry/moves.rs
+++ b/src/entry/moves.rs
@@ -1,5 +1,6 @@
 //! Version moves: gradual shifts of a service's traffic to a new version.
 
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
 
@@ -14,6 +15,7 @@
 use crate::entry::Entry;
 use crate::entry::adapter::DeclaredMove;
 use crate::entry::adapter::MoveOutcome;
+use crate::entry::backends::ChosenBackend;
 use crate::telemetry::events::Event;
 
 /// Tracks the version moves known to this entry, by service.
@@ -33,6 +35,66 @@
     pub is_single: bool,
 }
 
+/// A response that a server has not begun.
+///
+/// If it is dropped, the request was given up, which counts against a slow version.
+pub struct PendingResponse {
+    entry: Arc<Entry>,
+    request: Name,
+    service: Name,
+    route: Name,
+    server: ChosenBackend,
+    sent_at: Time,
+    is_settled: bool,
+}
+
+impl PendingResponse {
+    /// Starts to wait for the response to a request on `route`.
+    pub fn new(
+        entry: &Arc<Entry>,
+        request: &Name,
+        service: &Name,
+        route: &Name,
+        server: &ChosenBackend,
+    ) -> Self {
+        Self {
+            request: request.clone(),
+            service: service.clone(),
+            route: route.clone(),
+            server: server.clone(),
+            sent_at: entry.clock.now(),
+            entry: Arc::clone(entry),
+            is_settled: false,
+        }
+    }
+
+    /// Ends the wait, because the outcome is known.
+    pub fn settle(mut self) {
+        self.is_settled = true;
+    }
+}
+
+impl Drop for PendingResponse {
+    fn drop(&mut self) {
+        if self.is_settled {
+            return;
+        }
+        let waited = self.entry.clock.now().since(self.sent_at);
+        self.entry.events.write(
+            Event::for_request("response_abandoned", &self.request)
+                .with("route", &*self.route)
+                .with("backend", &*self.server.id)
+                .with_ms("waited_ms", waited),
+        );
+        let mut canaries = self.entry.moves.canaries.lock().unwrap();
+        if let Some(canary) = canaries.get_mut(&self.service) {
+            let is_new = canary.target == self.server.server.version;
+            let detector = &mut canary.detector;
+            detector.record_unanswered(&self.route, is_new, waited);
+        }
+    }
+}
+
 impl Moves {
     /// Creates a tracker without moves.
     pub fn new() -> Self {
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -10,3 +10,4 @@
 mod relay;
 mod requests;
 mod unframed;
+mod versions;
--- a/tests/entry/requests.rs
+++ b/tests/entry/requests.rs
@@ -9,6 +9,7 @@
 use std::time::Instant;
 
 use cassialock::clock::Clock;
+use cassialock::core::Name;
 use cassialock::core::catalog::Catalog;
 use cassialock::core::catalog::Route;
 use cassialock::core::catalog::RouteKind;
@@ -17,6 +18,7 @@
 use cassialock::entry::Entry;
 use cassialock::entry::adapter::Adapter;
 use cassialock::entry::adapter::Content;
+use cassialock::entry::adapter::DeclaredMove;
 use cassialock::entry::adapter::Listing;
 use cassialock::entry::adapter::Object;
 use cassialock::platform::protocol::HeaderProtocol;
@@ -169,6 +171,22 @@
         }])
 }
 
+/// Returns the store objects of backend servers at some addresses, with versions.
+fn backend_objects(servers: &[(SocketAddr, &str)]) -> Vec<Object> {
+    let objects = servers
+        .iter()
+        .enumerate()
+        .map(|(index, (address, version))| {
+            let mut object = fakes::backend(&format!("i-{}", index + 1), 1);
+            if let Content::Backend(server) = &mut object.content {
+                server.address = *address;
+                server.version = (*version).into();
+            }
+            object
+        });
+    objects.collect()
+}
+
 async fn free_port() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     listener.local_addr().unwrap()
@@ -197,18 +215,27 @@
 
     /// Starts an entry with a backend server at each of the addresses.
     pub async fn with_backends(addresses: &[SocketAddr]) -> Self {
-        let mut objects = vec![Object {
+        let servers: Vec<(SocketAddr, &str)> = addresses.iter().map(|at| (*at, "v1")).collect();
+        Self::with_objects(backend_objects(&servers)).await
+    }
+
+    /// Starts an entry with backend servers of some versions and a declared move.
+    pub async fn with_move(servers: &[(SocketAddr, &str)], declared: DeclaredMove) -> Self {
+        let mut objects = backend_objects(servers);
+        objects.push(Object {
+            name: declared.service.clone(),
+            revision: 1,
+            content: Content::Move(declared),
+        });
+        Self::with_objects(objects).await
+    }
+
+    async fn with_objects(mut objects: Vec<Object>) -> Self {
+        objects.push(Object {
             name: "main".into(),
             revision: 1,
             content: Content::Catalog(Box::new(catalog())),
-        }];
-        for (index, address) in addresses.iter().enumerate() {
-            let mut object = fakes::backend(&format!("i-{}", index + 1), 1);
-            if let Content::Backend(server) = &mut object.content {
-                server.address = *address;
-            }
-            objects.push(object);
-        }
+        });
         let script = Arc::new(Script::default());
         *script.listing.lock().unwrap() = Listing {
             revision: 1,
@@ -298,6 +325,12 @@
             .collect()
     }
 
+    /// Returns the services whose new version was found to be faulty.
+    pub fn vetoes(&self) -> Vec<Name> {
+        let vetoes = self.entry.moves.vetoes();
+        vetoes.iter().map(|(service, _)| service.clone()).collect()
+    }
+
     fn runs(&self) -> usize {
         self.runs.load(Ordering::Relaxed)
     }
