Keep the servers of a version on trial while others are scaled

What callers saw: a bad version got all traffic, and too few servers of it were left to carry it (EXPOSURE). Cause: the platform starts the servers of a new version beside the old ones and counts them in an order. The autoscaler took them for a surplus and ordered fewer; those without work were taken away, so the trial ended with a few requests and the move went on by the clock. The class: two controllers act on the same servers, and one does not know of the other. Change: servers of a version on trial are counted apart. They carry no load in the estimate, and every order includes them. The new test of the autoscaler names servers on trial, which the code before had no word for; that it fails without the change was not run.

--- a/src/core/fleet/scaling.rs
+++ b/src/core/fleet/scaling.rs
@@ -45,6 +45,17 @@
     pub on_demand: u32,
     /// Reclaimable servers that have received a reclaim notice.
     pub reclaiming: u32,
+    /// Servers of a version that is on trial beside the others, which orders include.
+    pub trial: TrialServers,
+}
+
+/// The serving servers of a version that is on trial in one failure domain.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct TrialServers {
+    /// Reclaimable servers.
+    pub reclaimable: u32,
+    /// On-demand servers.
+    pub on_demand: u32,
 }
 
 impl DomainServers {
@@ -243,10 +254,12 @@
         count: u32,
         now: Time,
     ) {
-        let current = match class {
-            Class::Reclaimable => servers.reclaimable,
-            Class::OnDemand => servers.on_demand,
+        let (current, trial) = match class {
+            Class::Reclaimable => (servers.reclaimable, servers.trial.reclaimable),
+            Class::OnDemand => (servers.on_demand, servers.trial.on_demand),
         };
+        // An order for fewer servers would end those on trial, which have little work.
+        let (current, count) = (current + trial, count + trial);
         let last = self.domain_state(&servers.domain).last_order(class);
         let is_repeat = last.count == Some(count);
         let is_pending = now.since(last.at) < scale.boot_time + RESEND_DELAY;
--- a/src/entry/backends.rs
+++ b/src/entry/backends.rs
@@ -283,8 +283,19 @@
     }
 
     /// Returns the number of servers of a service in each failure domain.
-    pub fn servers_by_domain(&self, service: &str, domains: &[Name]) -> Vec<DomainServers> {
+    ///
+    /// `trial` is the version that is on trial, if any.
+    pub fn servers_by_domain(
+        &self,
+        service: &str,
+        domains: &[Name],
+        trial: Option<&Name>,
+    ) -> Vec<DomainServers> {
         let state = self.state.lock().unwrap();
+        let is_other = |server: &BackendServer| Some(&server.version) != trial;
+        let mut present = state.registered.iter();
+        // A version without others beside it carries the load.
+        let has_others = present.any(|(_, row)| *row.service == *service && is_other(row));
         let mut domain_servers: Vec<DomainServers> = domains
             .iter()
             .map(|domain| DomainServers {
@@ -297,7 +308,11 @@
                 .iter_mut()
                 .find(|counts| counts.domain == server.domain && *server.service == *service);
             let Some(counts) = counts else { continue };
+            let is_trial = has_others && !is_other(server);
             match (server.class, server.is_leaving) {
+                (Class::Reclaimable, false) if is_trial => counts.trial.reclaimable += 1,
+                (Class::OnDemand, false) if is_trial => counts.trial.on_demand += 1,
+                (Class::Reclaimable, true) if is_trial => {}
                 (Class::Reclaimable, false) => counts.reclaimable += 1,
                 (Class::Reclaimable, true) => counts.reclaiming += 1,
                 (Class::OnDemand, false) => counts.on_demand += 1,
--- a/src/entry/leader/scaling.rs
+++ b/src/entry/leader/scaling.rs
@@ -28,7 +28,9 @@
                 continue;
             };
             let now = entry.clock.now();
-            let domain_servers = entry.backends.servers_by_domain(service, &domains);
+            let trial = entry.moves.trial_version(service, now);
+            let backends = &entry.backends;
+            let domain_servers = backends.servers_by_domain(service, &domains, trial.as_ref());
             let domain_servers: Vec<_> = domain_servers
                 .into_iter()
                 .filter(|counts| scale.domain_prices.get(&counts.domain).is_some())
--- a/src/entry/moves.rs
+++ b/src/entry/moves.rs
@@ -202,6 +202,14 @@
         }
     }
 
+    /// Returns the version of a service that does not carry its load for good, if there
+    /// is one.
+    pub fn trial_version(&self, service: &str, now: Time) -> Option<Name> {
+        let canaries = self.canaries.lock().unwrap();
+        let canary = canaries.get(service)?;
+        (canary.stage(now) != Stage::Done).then(|| canary.target.clone())
+    }
+
     /// Records a response of a server that runs `version`.
     pub fn record(
         &self,
--- a/tests/decisions/scaling.rs
+++ b/tests/decisions/scaling.rs
@@ -9,6 +9,7 @@
 use cassialock::core::fleet::scaling::Autoscaler;
 use cassialock::core::fleet::scaling::DomainServers;
 use cassialock::core::fleet::scaling::ScaleOrder;
+use cassialock::core::fleet::scaling::TrialServers;
 use cassialock::core::route::servers::Class;
 use cassialock::core::time::Time;
 
@@ -414,3 +415,37 @@
         );
     }
 }
+
+/// The platform starts the servers of a new version beside the others and counts
+/// them in an order.
+#[test]
+fn the_servers_of_a_version_on_trial_are_kept_and_replace_none() {
+    let mut autoscaler = Autoscaler::new();
+    let mut simulation = Simulation::new(3);
+    simulation.run(&mut autoscaler, 6, 0, 20_000);
+    let before = simulation.servers.clone();
+    let trial = TrialServers {
+        reclaimable: 1,
+        on_demand: 2,
+    };
+    for domain in &mut simulation.servers {
+        domain.trial = trial;
+    }
+    let need = CapacityEstimate {
+        servers: 6,
+        is_learned: true,
+        is_unused: false,
+    };
+    for ms in (20_000..40_000).step_by(STEP_MS as usize) {
+        let now = Time::from_millis(ms);
+        for order in autoscaler.orders(&simulation.scale, &simulation.servers, need, now) {
+            let mut domains = before.iter();
+            let domain = domains.find(|row| row.domain == order.domain).unwrap();
+            let expected = match order.class {
+                Class::Reclaimable => domain.reclaimable + trial.reclaimable,
+                Class::OnDemand => domain.on_demand + trial.on_demand,
+            };
+            assert_eq!(order.count, expected, "{order:?}");
+        }
+    }
+}
