Split the quarantine by concept

Cause: one file held the messages between nodes, the judgement of one set of features and the state of a node. Change: core::quarantine::bulletin and candidate; code is moved, not changed.

--- a/src/core/quarantine/mod.rs
+++ b/src/core/quarantine/mod.rs
@@ -9,44 +9,34 @@
 
 use std::time::Duration;
 
-use serde::Deserialize;
-use serde::Serialize;
-
 use crate::core::Name;
 use crate::core::name_map::NameMap;
+use crate::core::quarantine::bulletin::BLOCK_TIME;
+use crate::core::quarantine::bulletin::Block;
+use crate::core::quarantine::bulletin::Bulletin;
+use crate::core::quarantine::bulletin::Crash;
+use crate::core::quarantine::bulletin::Scope;
+use crate::core::quarantine::candidate::CERTAIN_CRASHES;
+use crate::core::quarantine::candidate::Candidate;
 use crate::core::quarantine::features::Feature;
 use crate::core::quarantine::features::Features;
 use crate::core::quarantine::successes::Successes;
 use crate::core::time::Time;
 
+pub mod bulletin;
+mod candidate;
 pub mod features;
 mod successes;
 
-/// Number of crashes after which features are blocked that no answered request had.
-const MIN_CRASHES: usize = 3;
-
-/// Number of crashes after which features are blocked that requests had which were
-/// answered before, and after which crashes at the same moment count each.
-const CERTAIN_CRASHES: usize = 5;
-
 /// Answers of this node after the last crash that are needed to block features that
 /// requests had which were answered before.
 ///
 /// While the servers of a service are all down, no request can clear its features.
 const MIN_ANSWERS: u64 = 20;
 
-/// Time between two crashes that have different causes.
-///
-/// Servers that fail together, as of one rack, are no evidence against the requests.
-const EPISODE_GAP: Duration = Duration::from_millis(50);
-
 /// Time after a crash in which other nodes may still clear the suspects.
 const SETTLE_TIME: Duration = Duration::from_millis(1_500);
 
-/// Time for which features are blocked after the last crash, and for which crashes
-/// are remembered.
-const BLOCK_TIME: Duration = Duration::from_secs(600);
-
 /// Time for which a node publishes what it has learned.
 const PUBLISH_TIME: Duration = Duration::from_secs(3);
 
@@ -65,60 +55,6 @@
 /// Maximum number of blocks.
 const MAX_BLOCKS: usize = 64;
 
-/// A crash of a server and the requests that may have caused it.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Crash {
-    /// Incarnation of the server.
-    pub server: Name,
-    /// Time at which the first request was cut off, on the clock of the fleet.
-    pub at: Time,
-    /// Features of the requests that the server had not begun to answer.
-    pub suspects: Vec<Features>,
-}
-
-/// Features that crash servers.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Block {
-    /// The features; a request that has all of them is refused.
-    pub features: Features,
-    /// Time of the last crash that counted against them, on the clock of the fleet.
-    pub crashed_at: Time,
-}
-
-impl Block {
-    /// Returns the time at which the block ends.
-    pub fn ends_at(&self) -> Time {
-        self.crashed_at + BLOCK_TIME
-    }
-}
-
-/// What one node tells others about crashes.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Bulletin {
-    /// Recent crashes.
-    pub crashes: Vec<Crash>,
-    /// Suspected features that requests had which were answered, and when.
-    pub cleared: Vec<(Feature, Time)>,
-    /// Blocked features.
-    pub blocks: Vec<Block>,
-}
-
-impl Bulletin {
-    /// Returns whether there is nothing to tell.
-    pub fn is_empty(&self) -> bool {
-        self.crashes.is_empty() && self.cleared.is_empty() && self.blocks.is_empty()
-    }
-}
-
-/// Which rows a bulletin has.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Scope {
-    /// What this node has observed itself.
-    Own,
-    /// What this node knows.
-    All,
-}
-
 /// A crash, as remembered at this node.
 #[derive(Clone, Debug)]
 struct Evidence {
@@ -154,14 +90,6 @@
     answers: u64,
 }
 
-/// A set of features that may be blocked, with the crashes that count against it.
-struct Candidate {
-    features: Features,
-    /// Names of the servers that crashed, sorted.
-    servers: Vec<Name>,
-    crashed_at: Time,
-}
-
 impl Quarantine {
     /// Creates a quarantine without crashes.
     pub fn new() -> Self {
@@ -493,52 +421,3 @@
         self.cleared.retain(|row| now.since(row.at) < BLOCK_TIME);
     }
 }
-
-impl Candidate {
-    /// Returns what the crashes at which `feature` was present have in common.
-    fn new(feature: Feature, crashes: &[Crash]) -> Self {
-        let mut features: Option<Features> = None;
-        let mut servers = Vec::new();
-        let mut crashed_at = Time::default();
-        for crash in crashes {
-            let having = crash.suspects.iter();
-            let having = having.filter(|suspect| suspect.contains(feature));
-            let Some(present) = having.cloned().reduce(|a, b| a.union(&b)) else {
-                continue;
-            };
-            features = Some(match features {
-                Some(common) => common.filtered(|feature| present.contains(feature)),
-                None => present,
-            });
-            servers.push(crash.server.clone());
-            crashed_at = crashed_at.max(crash.at);
-        }
-        Self {
-            features: features.unwrap_or_default(),
-            servers,
-            crashed_at,
-        }
-    }
-
-    /// Returns whether the crashes suffice to block the features.
-    fn is_sufficient(&self, is_unproven: bool, crashes: &[Crash]) -> bool {
-        if self.servers.len() >= CERTAIN_CRASHES {
-            return true;
-        }
-        let mut times: Vec<Time> = crashes
-            .iter()
-            .filter(|crash| self.servers.binary_search(&crash.server).is_ok())
-            .map(|crash| crash.at)
-            .collect();
-        times.sort_unstable();
-        let mut episodes = 0;
-        let mut began = None;
-        for at in times {
-            if began.is_none_or(|began| at.since(began) >= EPISODE_GAP) {
-                began = Some(at);
-                episodes += 1;
-            }
-        }
-        is_unproven && episodes >= MIN_CRASHES
-    }
-}
--- a/src/entry/feeds/quarantine.rs
+++ b/src/entry/feeds/quarantine.rs
@@ -5,7 +5,7 @@
 
 use futures_util::future::BoxFuture;
 
-use crate::core::quarantine::Block;
+use crate::core::quarantine::bulletin::Block;
 use crate::entry::Entry;
 use crate::entry::adapter::Change;
 use crate::entry::adapter::Content;
--- a/tests/decisions/quarantine.rs
+++ b/tests/decisions/quarantine.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use cassialock::core::quarantine::Block;
 use cassialock::core::quarantine::Quarantine;
-use cassialock::core::quarantine::Scope;
+use cassialock::core::quarantine::bulletin::Block;
+use cassialock::core::quarantine::bulletin::Scope;
 use cassialock::core::quarantine::features::Feature;
 use cassialock::core::quarantine::features::Features;
 use cassialock::core::retry::crash::Fingerprint;
