Review: a stream of bytes without end outlasts the time-out of its route

While a server sends faster than the client reads, the entry goes on with a stream for as long as the client reads, whatever the time-out of the route: the time left is only looked at when no bytes are waiting.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -5,6 +5,7 @@
 //! case could not run.
 
 mod cluster;
+mod endless;
 mod fences;
 mod http;
 mod json;
@@ -33,6 +34,7 @@
     let record = Record::new(&format!("{dir}/record.txt"));
     record.line(format!("{case}, with the disruption: {has_trouble}"));
     let verdict = match case.as_str() {
+        "endless" => endless::play(&record, tmp, has_trouble),
         "fences" => fences::play(&record, tmp, has_trouble),
         "keys" => keys::play(&record, tmp, has_trouble),
         "odd" => odd::play(&record, tmp, has_trouble),
