Review: servers whose entries are gone are kept after a cut watch

If only the watch of the servers is cut off, its feed waits for up to 2 s and then takes the one cut call for an outage of the store. It keeps servers whose entries are gone for 2.1 s more, sends orders to them, and these are lost when the servers exit.

The case of the unreadable entry becomes case 2.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-exec "$(dirname "$0")/../run-case.sh" pieces "$(dirname "$0")"
+exec "$(dirname "$0")/../run-case.sh" odd "$(dirname "$0")"
--- a/review/standin/cluster.rs
+++ b/review/standin/cluster.rs
@@ -246,6 +246,7 @@
     zone: String,
     born: i64,
     is_up: AtomicBool,
+    is_renewing: AtomicBool,
     seq: AtomicU64,
 }
 
@@ -268,6 +269,7 @@
             zone: zone.into(),
             born: unix_ms(),
             is_up: AtomicBool::new(true),
+            is_renewing: AtomicBool::new(true),
             seq: AtomicU64::new(1),
         });
         let (known, record) = (Arc::clone(&server), Arc::clone(record));
@@ -309,7 +311,7 @@
     }
 
     fn register(&self, store: &Store) {
-        if !self.is_up.load(Ordering::SeqCst) {
+        if !self.is_up() || !self.is_renewing.load(Ordering::SeqCst) {
             return;
         }
         let spec = map([
@@ -326,7 +328,23 @@
         store.set("servers", &self.name, spec);
     }
 
-    /// Crashes: channels end, connections are refused, and nothing is renewed.
+    pub fn is_up(&self) -> bool {
+        self.is_up.load(Ordering::SeqCst)
+    }
+
+    /// Returns whether the server has left the list, which it says in all its answers.
+    pub fn is_leaving(&self) -> bool {
+        !self.is_renewing.load(Ordering::SeqCst)
+    }
+
+    /// Removes the entry and renews it no more; the server goes on for now.
+    pub fn leave(&self, store: &Store) {
+        self.is_renewing.store(false, Ordering::SeqCst);
+        thread::sleep(Duration::from_millis(20));
+        store.remove_server(&self.name);
+    }
+
+    /// Ends: channels end, connections are refused, and nothing is renewed.
     pub fn crash(&self) {
         self.is_up.store(false, Ordering::SeqCst);
     }
--- a/review/standin/json.rs
+++ b/review/standin/json.rs
@@ -23,6 +23,15 @@
         }
     }
 
+    /// Returns the value without a field.
+    pub fn without(&self, name: &str) -> Json {
+        let mut value = self.clone();
+        if let Json::Map(map) = &mut value {
+            map.remove(name);
+        }
+        value
+    }
+
     pub fn as_int(&self) -> Option<i64> {
         match self {
             Json::Int(value) => Some(*value),
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -11,8 +11,10 @@
 mod json;
 mod keys;
 mod odd;
+mod leavers;
 mod pieces;
 mod store;
+mod usage;
 
 use std::process::ExitCode;
 
@@ -37,7 +39,9 @@
         "endless" => endless::play(&record, tmp, has_trouble),
         "fences" => fences::play(&record, tmp, has_trouble),
         "keys" => keys::play(&record, tmp, has_trouble),
+        "leavers" => leavers::play(&record, tmp, has_trouble),
         "odd" => odd::play(&record, tmp, has_trouble),
+        "usage" => usage::play(&record, tmp, has_trouble),
         "pieces" => pieces::play(&record, tmp, has_trouble),
         _ => Verdict::NotRun,
     };
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -67,6 +67,8 @@
     /// Revision before which no history is kept.
     oldest: i64,
     is_away: bool,
+    /// Number of times that the waiting watches of the servers were cut off.
+    cuts: u64,
     calls: Vec<CloudCall>,
 }
 
@@ -96,6 +98,7 @@
                 history: Vec::new(),
                 oldest: 1,
                 is_away: false,
+                cuts: 0,
                 calls: Vec::new(),
             }),
             changed: Condvar::new(),
@@ -136,6 +139,23 @@
         }
     }
 
+    /// Removes the entry of a server; returns whether that was accepted.
+    pub fn remove_server(&self, name: &str) -> bool {
+        let mut state = self.state.lock().unwrap();
+        if state.is_away {
+            return false;
+        }
+        state.remove("servers", name);
+        self.changed.notify_all();
+        true
+    }
+
+    /// Cuts off the watches of the servers that are waiting.
+    pub fn cut_watches(&self) {
+        self.state.lock().unwrap().cuts += 1;
+        self.changed.notify_all();
+    }
+
     /// Takes the store away: calls get 503, and watches are cut off.
     pub fn leave(&self) {
         self.state.lock().unwrap().is_away = true;
@@ -238,9 +258,10 @@
         let wait = request.query("wait_ms").and_then(|text| text.parse().ok());
         let until = Instant::now() + Duration::from_millis(wait.unwrap_or(0));
         let mut state = self.state.lock().unwrap();
-        let era = state.era;
+        let (era, cuts) = (state.era, state.cuts);
         loop {
-            if state.is_away || state.era != era {
+            let is_cut = kind == "servers" && state.cuts != cuts;
+            if state.is_away || state.era != era || is_cut {
                 return None;
             }
             if after < state.oldest || after > state.revision {
@@ -306,8 +327,10 @@
             status: Json::Null,
         });
         change(&mut object);
-        let is_same =
-            |known: &Object| known.spec == object.spec && known.status == object.status;
+        // The entry of a server changes when more than its `seq` changes.
+        let is_same = |known: &Object| {
+            known.spec.without("seq") == object.spec.without("seq") && known.status == object.status
+        };
         if known.as_ref().is_some_and(is_same) {
             return object.json(name);
         }
