Review: usage of a window is reported twice after a drill

If the machines are restarted in turn while the store comes back from a copy, the next holder reports a window once more, with counts that lack what processes that have ended had counted. Both reports are accepted.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-exec "$(dirname "$0")/../run-case.sh" keys "$(dirname "$0")"
+exec "$(dirname "$0")/../run-case.sh" usage "$(dirname "$0")"
