--- a/review/standin/cluster.rs
+++ b/review/standin/cluster.rs
@@ -58,7 +58,7 @@
 }
 
 /// Returns the first three numbers of loopback addresses that no other run uses.
-pub fn network() -> String {
+fn network() -> String {
     let now = SystemTime::now().duration_since(UNIX_EPOCH);
     let nanos = now.unwrap_or_default().subsec_nanos() / 1_000;
     format!("127.{}.{}", 20 + nanos % 200, 1 + std::process::id() % 250)
@@ -70,6 +70,73 @@
     (listener, address)
 }
 
+/// The store of a deployment, and the addresses of its parts.
+pub struct Site {
+    pub net: String,
+    pub store: Arc<Store>,
+    store_address: SocketAddr,
+}
+
+impl Site {
+    pub fn start() -> Self {
+        let net = network();
+        let (listener, store_address) = bind(&format!("{net}.1"));
+        Self {
+            store: Store::start(listener),
+            net,
+            store_address,
+        }
+    }
+
+    /// Starts an entry in each of `zones`, and returns them once they accept connections.
+    pub fn start_entries(&self, tmp: &str, zones: &[&str]) -> Option<Vec<Arc<Entry>>> {
+        let entry = |(index, zone): (usize, &&str)| {
+            let ip = format!("{}.{}", self.net, 11 + index);
+            Entry::new(tmp, index, &ip, zone, self.store_address)
+        };
+        let entries: Vec<Arc<Entry>> = zones.iter().enumerate().map(entry).collect();
+        entries.iter().for_each(|entry| entry.spawn(true));
+        entries
+            .iter()
+            .all(|entry| entry.wait_front())
+            .then_some(entries)
+    }
+
+    /// Starts the server `i-INDEX` of a service, which answers each request by `run`.
+    pub fn start_server(
+        &self,
+        record: &Arc<Record>,
+        index: usize,
+        service: &str,
+        run: impl Fn(&Server, &Message, &mut Channel) -> bool + Send + Sync + 'static,
+    ) -> Arc<Server> {
+        let ip = format!("{}.{}", self.net, 30 + index);
+        Server::start(
+            &self.store,
+            record,
+            &ip,
+            &format!("i-{index}"),
+            service,
+            run,
+        )
+    }
+
+    /// Writes a configuration with one tenant, `one`, which has the key `k-one`.
+    pub fn publish(&self, route: Json, service: &str) -> bool {
+        let tenants: &[(&str, &[&str])] = &[("one", &["k-one"])];
+        let spec = config(3, vec![route], &[service], tenants);
+        self.store.set("config", "main", spec)
+    }
+}
+
+/// Answers a request with a short body at once.
+pub fn answer_at_once(server: &Server, request: &Message, channel: &mut Channel) -> bool {
+    let id = request
+        .header("x-cassialock-request-id")
+        .unwrap_or_default();
+    channel.send(&http::answer("200 OK", &stamp(&server.name, id), "ready"))
+}
+
 /// An entry: its settings and its process.
 pub struct Entry {
     pub name: String,
@@ -82,7 +149,7 @@
 }
 
 impl Entry {
-    pub fn new(dir: &str, index: usize, ip: &str, zone: &str, store: SocketAddr) -> Arc<Self> {
+    fn new(dir: &str, index: usize, ip: &str, zone: &str, store: SocketAddr) -> Arc<Self> {
         let name = format!("edge-{zone}-{}", index + 1);
         let text = format!(
             r#"node = "{name}"
@@ -194,7 +261,9 @@
             && matches!(child.try_wait(), Ok(None))
         {
             let id = child.id().to_string();
-            let _ = Command::new("kill").args([&format!("-{name}"), &id]).status();
+            let _ = Command::new("kill")
+                .args([&format!("-{name}"), &id])
+                .status();
         }
     }
 
@@ -207,7 +276,9 @@
 
     pub fn is_running(&self) -> bool {
         let mut child = self.child.lock().unwrap();
-        child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
+        child
+            .as_mut()
+            .is_some_and(|child| matches!(child.try_wait(), Ok(None)))
     }
 
     pub fn wait_end(&self, timeout: Duration) -> bool {
@@ -243,7 +314,6 @@
     pub name: String,
     pub address: SocketAddr,
     service: String,
-    zone: String,
     born: i64,
     is_up: AtomicBool,
     is_renewing: AtomicBool,
@@ -252,13 +322,12 @@
 
 impl Server {
     /// Starts a server that answers each request which it accepts by `run`.
-    pub fn start(
+    fn start(
         store: &Arc<Store>,
         record: &Arc<Record>,
         ip: &str,
         name: &str,
         service: &str,
-        zone: &str,
         run: impl Fn(&Server, &Message, &mut Channel) -> bool + Send + Sync + 'static,
     ) -> Arc<Self> {
         let (listener, address) = bind(ip);
@@ -266,7 +335,6 @@
             name: name.into(),
             address,
             service: service.into(),
-            zone: zone.into(),
             born: unix_ms(),
             is_up: AtomicBool::new(true),
             is_renewing: AtomicBool::new(true),
@@ -279,7 +347,9 @@
             if !known.is_up.load(Ordering::SeqCst) {
                 return false;
             }
-            let id = request.header("x-cassialock-request-id").unwrap_or_default();
+            let id = request
+                .header("x-cassialock-request-id")
+                .unwrap_or_default();
             let echo = format!("X-Cassialock-Request-Id: {id}\r\nX-Cassialock-Not-Executed: 1\r\n");
             let expected = request.header("x-cassialock-expect-instance");
             if expected.is_some_and(|expected| expected != known.name) {
@@ -317,7 +387,7 @@
         let spec = map([
             ("service", text(&*self.service)),
             ("address", text(self.address.to_string())),
-            ("zone", text(&*self.zone)),
+            ("zone", text("a")),
             ("version", text("v1")),
             ("slots", Json::Int(128)),
             ("state", text("ready")),
@@ -358,7 +428,12 @@
 }
 
 /// Returns the configuration, whose tenants have these keys.
-pub fn config(version: i64, routes: Vec<Json>, services: &[&str], tenants: &[(&str, &[&str])]) -> Json {
+pub fn config(
+    version: i64,
+    routes: Vec<Json>,
+    services: &[&str],
+    tenants: &[(&str, &[&str])],
+) -> Json {
     let services = services.iter().map(|name| map([("name", text(*name))]));
     let tenants = tenants.iter().map(|(name, keys)| {
         let keys = keys.iter().map(|key| text(*key)).collect();
--- a/review/standin/endless.rs
+++ b/review/standin/endless.rs
@@ -9,12 +9,11 @@
 
 use crate::Verdict;
 use crate::cluster;
-use crate::cluster::Entry;
 use crate::cluster::Record;
 use crate::cluster::Server;
+use crate::cluster::Site;
 use crate::http::Channel;
 use crate::http::Message;
-use crate::store::Store;
 
 /// Number of servers.
 const SERVERS: usize = 8;
@@ -40,33 +39,20 @@
 const READ_PAUSE: Duration = Duration::from_millis(10);
 
 pub fn play(record: &Arc<Record>, tmp: &str, has_trouble: bool) -> Verdict {
-    let net = cluster::network();
-    let (listener, store_address) = cluster::bind(&format!("{net}.1"));
-    let store = Store::start(listener);
+    let site = Site::start();
     let timeout_ms = TIMEOUT.as_millis() as i64;
     let draft = cluster::route("/draft/", "streaming", "pool", timeout_ms, 1);
-    let tenants: &[(&str, &[&str])] = &[("one", &["k-one"])];
-    store.set("config", "main", cluster::config(3, vec![draft], &["pool"], tenants));
+    site.publish(draft, "pool");
     for index in 0..SERVERS {
-        let (name, ip) = (format!("i-{index}"), format!("{net}.{}", 2 + index));
         let is_troubled = has_trouble && index < TROUBLED;
         let run = move |server: &Server, request: &Message, channel: &mut Channel| {
             answer(server, request, channel, is_troubled)
         };
-        Server::start(&store, record, &ip, &name, "pool", "a", run);
+        site.start_server(record, index, "pool", run);
     }
-    let entries: Vec<Arc<Entry>> = ["a", "b", "c"]
-        .iter()
-        .enumerate()
-        .map(|(index, zone)| {
-            let ip = format!("{net}.{}", 21 + index);
-            Entry::new(tmp, index, &ip, zone, store_address)
-        })
-        .collect();
-    entries.iter().for_each(|entry| entry.spawn(true));
-    if !entries.iter().all(|entry| entry.wait_front()) {
+    let Some(entries) = site.start_entries(tmp, &["a", "b", "c"]) else {
         return Verdict::NotRun;
-    }
+    };
     thread::sleep(Duration::from_secs(3));
     let lasted: Arc<Mutex<Vec<(Duration, bool)>>> = Arc::default();
     let clients: Vec<_> = (0..REQUESTS)
@@ -146,7 +132,9 @@
 
 /// Answers with a short stream, or with bytes that don't end until the caller closes.
 fn answer(server: &Server, request: &Message, channel: &mut Channel, is_troubled: bool) -> bool {
-    let id = request.header("x-cassialock-request-id").unwrap_or_default();
+    let id = request
+        .header("x-cassialock-request-id")
+        .unwrap_or_default();
     let head = format!(
         "HTTP/1.1 200 OK\r\n{}Content-Type: text/event-stream\r\n\
          Transfer-Encoding: chunked\r\n\r\n",
--- a/review/standin/fences.rs
+++ b/review/standin/fences.rs
@@ -13,8 +13,7 @@
 use crate::cluster;
 use crate::cluster::Entry;
 use crate::cluster::Record;
-use crate::cluster::Server;
-use crate::http;
+use crate::cluster::Site;
 use crate::store::CloudCall;
 use crate::store::Store;
 
@@ -28,39 +27,19 @@
 const AWAY: Duration = Duration::from_millis(1_500);
 
 pub fn play(record: &Arc<Record>, tmp: &str, has_trouble: bool) -> Verdict {
-    let net = cluster::network();
-    let (listener, store_address) = cluster::bind(&format!("{net}.1"));
-    let store = Store::start(listener);
-    let publish = {
-        let store = Arc::clone(&store);
-        move || {
-            let routes = vec![cluster::route("/status/", "idempotent", "desk", 2_000, 2)];
-            let tenants: &[(&str, &[&str])] = &[("one", &["k-one"])];
-            store.set("config", "main", cluster::config(3, routes, &["desk"], tenants))
-        }
+    let site = Site::start();
+    let store = &site.store;
+    let publish = || {
+        let route = cluster::route("/status/", "idempotent", "desk", 2_000, 2);
+        site.publish(route, "desk")
     };
     publish();
     for index in 0..2 {
-        let name = format!("i-{index}");
-        let ip = format!("{net}.{}", 2 + index);
-        Server::start(&store, record, &ip, &name, "desk", "a", |server, request, channel| {
-            let id = request.header("x-cassialock-request-id").unwrap_or_default();
-            let head = cluster::stamp(&server.name, id);
-            channel.send(&http::answer("200 OK", &head, "ready"))
-        });
+        site.start_server(record, index, "desk", cluster::answer_at_once);
     }
-    let entries: Vec<Arc<Entry>> = ["a", "b", "c"]
-        .iter()
-        .enumerate()
-        .map(|(index, zone)| {
-            let ip = format!("{net}.{}", 11 + index);
-            Entry::new(tmp, index, &ip, zone, store_address)
-        })
-        .collect();
-    entries.iter().for_each(|entry| entry.spawn(true));
-    if !entries.iter().all(|entry| entry.wait_front()) {
+    let Some(entries) = site.start_entries(tmp, &["a", "b", "c"]) else {
         return Verdict::NotRun;
-    }
+    };
     let is_over = Arc::new(AtomicBool::new(false));
     let fronts: Vec<SocketAddr> = entries.iter().map(|entry| entry.front).collect();
     let (ending, noting) = (Arc::clone(&is_over), Arc::clone(record));
@@ -77,7 +56,7 @@
             thread::sleep(Duration::from_millis(150));
         }
     });
-    let verdict = run(record, &store, &entries, &publish, has_trouble);
+    let verdict = run(record, store, &entries, &publish, has_trouble);
     is_over.store(true, Ordering::SeqCst);
     let _ = client.join();
     entries.iter().for_each(|entry| entry.kill());
@@ -128,12 +107,18 @@
     let copy = store.copy();
     record.line("a copy of the store is made");
     holder.signal("TERM");
-    record.line(format!("SIGTERM to {}, the holder of {}", holder.name, first.fence));
+    record.line(format!(
+        "SIGTERM to {}, the holder of {}",
+        holder.name, first.fence
+    ));
     let Some(second) = wait_call(12, &|call| call.holder != first.holder) else {
         record.line("no other holder called the cloud");
         return Verdict::NotRun;
     };
-    record.line(format!("{} has called with {}", second.holder, second.fence));
+    record.line(format!(
+        "{} has called with {}",
+        second.holder, second.fence
+    ));
     if has_trouble {
         store.leave();
         entries.iter().for_each(|entry| entry.kill());
@@ -143,8 +128,9 @@
         let age = copy.at.elapsed();
         record.line(format!("the store is back from a copy {age:?} old"));
         publish();
-        let (last, others): (Vec<_>, Vec<_>) =
-            entries.iter().partition(|entry| entry.name == second.holder);
+        let (last, others): (Vec<_>, Vec<_>) = entries
+            .iter()
+            .partition(|entry| entry.name == second.holder);
         others.iter().for_each(|entry| entry.spawn(false));
         record.line("the other machines start again");
         thread::sleep(Duration::from_millis(1_000));
--- a/review/standin/json.rs
+++ b/review/standin/json.rs
@@ -225,7 +225,12 @@
 
 /// Builds an object.
 pub fn map<const N: usize>(fields: [(&str, Json); N]) -> Json {
-    Json::Map(fields.into_iter().map(|(k, v)| (k.to_string(), v)).collect())
+    Json::Map(
+        fields
+            .into_iter()
+            .map(|(k, v)| (k.to_string(), v))
+            .collect(),
+    )
 }
 
 pub fn text(value: impl Into<String>) -> Json {
--- a/review/standin/keys.rs
+++ b/review/standin/keys.rs
@@ -8,12 +8,11 @@
 
 use crate::Verdict;
 use crate::cluster;
-use crate::cluster::Entry;
 use crate::cluster::Record;
 use crate::cluster::Server;
+use crate::cluster::Site;
 use crate::http;
 use crate::json::Json;
-use crate::store::Store;
 
 /// `revoke_ms` of the settings.
 const REVOKE: Duration = Duration::from_millis(5_000);
@@ -34,9 +33,8 @@
 const REWRITE: Duration = Duration::from_millis(1_000);
 
 pub fn play(record: &Arc<Record>, tmp: &str, has_trouble: bool) -> Verdict {
-    let net = cluster::network();
-    let (listener, store_address) = cluster::bind(&format!("{net}.1"));
-    let store = Store::start(listener);
+    let site = Site::start();
+    let store = &site.store;
     let spec = |version: i64, keys: &[&str]| -> Json {
         let routes = vec![cluster::route("/status/", "idempotent", "desk", 2_000, 2)];
         let tenants: &[(&str, &[&str])] = &[("one", &["k-one"]), ("two", keys)];
@@ -45,28 +43,19 @@
     store.set("config", "main", spec(3, &["k-two"]));
     let runs: Arc<Mutex<Vec<String>>> = Arc::default();
     for index in 0..2 {
-        let (name, ip) = (format!("i-{index}"), format!("{net}.{}", 2 + index));
         let runs = Arc::clone(&runs);
         let run = move |server: &Server, request: &http::Message, channel: &mut http::Channel| {
-            let id = request.header("x-cassialock-request-id").unwrap_or_default();
+            let id = request
+                .header("x-cassialock-request-id")
+                .unwrap_or_default();
             runs.lock().unwrap().push(id.to_string());
-            let head = cluster::stamp(&server.name, id);
-            channel.send(&http::answer("200 OK", &head, "ready"))
+            cluster::answer_at_once(server, request, channel)
         };
-        Server::start(&store, record, &ip, &name, "desk", "a", run);
+        site.start_server(record, index, "desk", run);
     }
-    let entries: Vec<Arc<Entry>> = ["a", "b", "c"]
-        .iter()
-        .enumerate()
-        .map(|(index, zone)| {
-            let ip = format!("{net}.{}", 11 + index);
-            Entry::new(tmp, index, &ip, zone, store_address)
-        })
-        .collect();
-    entries.iter().for_each(|entry| entry.spawn(true));
-    if !entries.iter().all(|entry| entry.wait_front()) {
+    let Some(entries) = site.start_entries(tmp, &["a", "b", "c"]) else {
         return Verdict::NotRun;
-    }
+    };
     thread::sleep(Duration::from_secs(4));
     let restarted = Arc::clone(&entries[2]);
     let send = |key: &str| -> (Instant, String, Option<u16>) {
--- a/review/standin/leavers.rs
+++ b/review/standin/leavers.rs
@@ -8,13 +8,12 @@
 
 use crate::Verdict;
 use crate::cluster;
-use crate::cluster::Entry;
 use crate::cluster::Record;
 use crate::cluster::Server;
+use crate::cluster::Site;
 use crate::http;
 use crate::http::Channel;
 use crate::http::Message;
-use crate::store::Store;
 
 /// Number of servers.
 const SERVERS: usize = 18;
@@ -26,10 +25,11 @@
 const DRAIN: Duration = Duration::from_millis(2_000);
 
 /// Time for which a leaving server goes on beyond that.
-const LINGER: Duration = Duration::from_millis(500);
+const LINGER: Duration = Duration::from_millis(1_150);
 
-/// Time after `drain_ms` at which many orders come at once.
-const LATE: Duration = Duration::from_millis(400);
+/// Time after `drain_ms` at which many orders come at once, which is more than `contact_ms`
+/// after the cut.
+const LATE: Duration = Duration::from_millis(1_050);
 
 /// Number of these orders.
 const ORDERS: usize = 60;
@@ -49,18 +49,17 @@
 }
 
 pub fn play(record: &Arc<Record>, tmp: &str, has_trouble: bool) -> Verdict {
-    let net = cluster::network();
-    let (listener, store_address) = cluster::bind(&format!("{net}.1"));
-    let store = Store::start(listener);
-    let routes = vec![cluster::route("/order/", "non_idempotent", "desk", 2_000, 1)];
-    let tenants: &[(&str, &[&str])] = &[("one", &["k-one"])];
-    store.set("config", "main", cluster::config(3, routes, &["desk"], tenants));
+    let site = Site::start();
+    let store = &site.store;
+    let route = cluster::route("/order/", "non_idempotent", "desk", 2_000, 1);
+    site.publish(route, "desk");
     let arrivals: Arc<Mutex<Vec<Arrival>>> = Arc::default();
     let start = |index: usize| {
-        let (name, ip) = (format!("i-{index}"), format!("{net}.{}", 30 + index));
         let arrivals = Arc::clone(&arrivals);
         let run = move |server: &Server, request: &Message, channel: &mut Channel| {
-            let id = request.header("x-cassialock-request-id").unwrap_or_default();
+            let id = request
+                .header("x-cassialock-request-id")
+                .unwrap_or_default();
             arrivals.lock().unwrap().push(Arrival {
                 server: server.name.clone(),
                 request: id.into(),
@@ -70,25 +69,20 @@
             if !server.is_up() {
                 return false;
             }
-            let leaving = if server.is_leaving() { "Server-Leaving: 1\r\n" } else { "" };
+            let leaving = if server.is_leaving() {
+                "Server-Leaving: 1\r\n"
+            } else {
+                ""
+            };
             let head = cluster::stamp(&server.name, id) + leaving;
             channel.send(&http::answer("200 OK", &head, "placed"))
         };
-        Server::start(&store, record, &ip, &name, "desk", "a", run)
+        site.start_server(record, index, "desk", run)
     };
     let old: Vec<Arc<Server>> = (0..SERVERS).map(start).collect();
-    let entries: Vec<Arc<Entry>> = ["a", "b", "c"]
-        .iter()
-        .enumerate()
-        .map(|(index, zone)| {
-            let ip = format!("{net}.{}", 11 + index);
-            Entry::new(tmp, index, &ip, zone, store_address)
-        })
-        .collect();
-    entries.iter().for_each(|entry| entry.spawn(true));
-    if !entries.iter().all(|entry| entry.wait_front()) {
+    let Some(entries) = site.start_entries(tmp, &["a", "b", "c"]) else {
         return Verdict::NotRun;
-    }
+    };
     // Longer than `contact_ms`, so that all machines are in touch.
     thread::sleep(Duration::from_secs(5));
     let unanswered: Arc<Mutex<Vec<(String, Option<u16>)>>> = Arc::default();
@@ -121,9 +115,12 @@
             record.line("the store cuts off the watches of the servers");
         }
         thread::sleep(CUT_BEFORE);
-        leaver.leave(&store);
+        leaver.leave(store);
         let at = Instant::now();
-        record.line(format!("the store has removed the entry of {}", leaver.name));
+        record.line(format!(
+            "the store has removed the entry of {}",
+            leaver.name
+        ));
         acks.push((leaver.name.clone(), at));
         thread::sleep(DRAIN + LATE);
         clients.extend(send_orders());
@@ -139,7 +136,9 @@
     let (arrivals, unanswered) = (arrivals.lock().unwrap(), unanswered.lock().unwrap());
     let mut late = 0;
     for (name, at) in &acks {
-        let rows = arrivals.iter().filter(|row| row.server == *name && row.at > *at + DRAIN);
+        let rows = arrivals
+            .iter()
+            .filter(|row| row.server == *name && row.at > *at + DRAIN);
         let last = rows.clone().map(|row| row.at - *at).max();
         let count = rows.count();
         late += count;
--- a/review/standin/odd.rs
+++ b/review/standin/odd.rs
@@ -10,17 +10,15 @@
 
 use crate::Verdict;
 use crate::cluster;
-use crate::cluster::Entry;
 use crate::cluster::Record;
 use crate::cluster::Server;
-use crate::http;
+use crate::cluster::Site;
 use crate::http::Channel;
 use crate::http::Message;
 use crate::json::Json;
 use crate::json::map;
 use crate::json::text;
 use crate::store::ODD;
-use crate::store::Store;
 
 /// `recover_s` of the settings.
 const RECOVER: Duration = Duration::from_secs(12);
@@ -35,37 +33,23 @@
 type Sent = (Instant, Option<u16>);
 
 pub fn play(record: &Arc<Record>, tmp: &str, has_trouble: bool) -> Verdict {
-    let net = cluster::network();
-    let (listener, store_address) = cluster::bind(&format!("{net}.1"));
-    let store = Store::start(listener);
-    let routes = vec![cluster::route("/status/", "idempotent", "desk", 2_000, 2)];
-    let tenants: &[(&str, &[&str])] = &[("one", &["k-one"])];
-    store.set("config", "main", cluster::config(3, routes, &["desk"], tenants));
+    let site = Site::start();
+    let store = &site.store;
+    let route = cluster::route("/status/", "idempotent", "desk", 2_000, 2);
+    site.publish(route, "desk");
     let ran: Arc<Mutex<Vec<String>>> = Arc::default();
     let start = |index: usize| {
-        let (name, ip) = (format!("i-{index}"), format!("{net}.{}", 2 + index));
         let ran = Arc::clone(&ran);
         let run = move |server: &Server, request: &Message, channel: &mut Channel| {
             ran.lock().unwrap().push(server.name.clone());
-            let id = request.header("x-cassialock-request-id").unwrap_or_default();
-            let head = cluster::stamp(&server.name, id);
-            channel.send(&http::answer("200 OK", &head, "ready"))
+            cluster::answer_at_once(server, request, channel)
         };
-        Server::start(&store, record, &ip, &name, "desk", "a", run)
+        site.start_server(record, index, "desk", run)
     };
     (0..3).for_each(|index| drop(start(index)));
-    let entries: Vec<Arc<Entry>> = ["a", "b", "c"]
-        .iter()
-        .enumerate()
-        .map(|(index, zone)| {
-            let ip = format!("{net}.{}", 11 + index);
-            Entry::new(tmp, index, &ip, zone, store_address)
-        })
-        .collect();
-    entries.iter().for_each(|entry| entry.spawn(true));
-    if !entries.iter().all(|entry| entry.wait_front()) {
+    let Some(entries) = site.start_entries(tmp, &["a", "b", "c"]) else {
         return Verdict::NotRun;
-    }
+    };
     thread::sleep(Duration::from_secs(4));
     let is_over = Arc::new(AtomicBool::new(false));
     let sent: Arc<Mutex<Vec<Sent>>> = Arc::default();
@@ -91,7 +75,7 @@
     if has_trouble {
         let spec = map([
             ("service", text("desk")),
-            ("address", text(format!("{net}.9:9"))),
+            ("address", text(format!("{}.9:9", site.net))),
             ("zone", text("a")),
             ("version", text(format!("v{ODD}"))),
             ("slots", Json::Int(128)),
@@ -104,7 +88,12 @@
     let added = start(3);
     record.line(format!("{} has registered", added.name));
     thread::sleep(Duration::from_secs(4));
-    let gets = ran.lock().unwrap().iter().filter(|name| **name == added.name).count();
+    let gets = ran
+        .lock()
+        .unwrap()
+        .iter()
+        .filter(|name| **name == added.name)
+        .count();
     record.line(format!("{} has got {gets} requests since", added.name));
     let killed = Instant::now();
     entries.iter().for_each(|entry| entry.kill());
--- a/review/standin/pieces.rs
+++ b/review/standin/pieces.rs
@@ -8,13 +8,12 @@
 
 use crate::Verdict;
 use crate::cluster;
-use crate::cluster::Entry;
 use crate::cluster::Record;
 use crate::cluster::Server;
+use crate::cluster::Site;
 use crate::http::Channel;
 use crate::http::Message;
 use crate::json::Json;
-use crate::store::Store;
 
 /// Number of servers, of which one crashes.
 const SERVERS: usize = 8;
@@ -34,37 +33,24 @@
 }
 
 pub fn play(record: &Arc<Record>, tmp: &str, has_trouble: bool) -> Verdict {
-    let net = cluster::network();
-    let (listener, store_address) = cluster::bind(&format!("{net}.1"));
-    let store = Store::start(listener);
+    let site = Site::start();
     let mut draft = cluster::route("/draft/", "streaming", "pool", 5_000, 2);
     if let Json::Map(fields) = &mut draft {
         fields.insert("resumable".into(), Json::Bool(true));
         fields.insert("gap_aim_ms".into(), Json::Int(400));
     }
-    let tenants: &[(&str, &[&str])] = &[("one", &["k-one"])];
-    store.set("config", "main", cluster::config(3, vec![draft], &["pool"], tenants));
+    site.publish(draft, "pool");
     let crashes = Arc::new(AtomicBool::new(has_trouble));
     for index in 0..SERVERS {
-        let (name, ip) = (format!("i-{index}"), format!("{net}.{}", 2 + index));
         let (crashes, noting) = (Arc::clone(&crashes), Arc::clone(record));
         let run = move |server: &Server, request: &Message, channel: &mut Channel| {
             answer(&noting, server, request, channel, &crashes)
         };
-        Server::start(&store, record, &ip, &name, "pool", "a", run);
+        site.start_server(record, index, "pool", run);
     }
-    let entries: Vec<Arc<Entry>> = ["a", "b"]
-        .iter()
-        .enumerate()
-        .map(|(index, zone)| {
-            let ip = format!("{net}.{}", 11 + index);
-            Entry::new(tmp, index, &ip, zone, store_address)
-        })
-        .collect();
-    entries.iter().for_each(|entry| entry.spawn(true));
-    if !entries.iter().all(|entry| entry.wait_front()) {
+    let Some(entries) = site.start_entries(tmp, &["a", "b"]) else {
         return Verdict::NotRun;
-    }
+    };
     thread::sleep(Duration::from_secs(3));
     let id = cluster::next_id();
     let front = entries[0].front;
@@ -83,7 +69,8 @@
         got.is_complete,
         body.len()
     ));
-    body.lines().for_each(|line| record.line(format!("client got: {line}")));
+    body.lines()
+        .for_each(|line| record.line(format!("client got: {line}")));
     let missing: Vec<u32> = (1..=EVENTS)
         .filter(|id| !body.contains(&event(*id)))
         .collect();
@@ -108,7 +95,9 @@
     channel: &mut Channel,
     crashes: &AtomicBool,
 ) -> bool {
-    let id = request.header("x-cassialock-request-id").unwrap_or_default();
+    let id = request
+        .header("x-cassialock-request-id")
+        .unwrap_or_default();
     let last = request.header("last-event-id");
     let last: u32 = last.and_then(|last| last.parse().ok()).unwrap_or(0);
     // The server that goes on has newer weights.
@@ -130,7 +119,10 @@
     }
     for (index, event) in events.iter().enumerate() {
         if last == 0 && index == CRASH_AFTER as usize && crashes.swap(false, Ordering::SeqCst) {
-            record.line(format!("server {} crashes in its answer to {id}", server.name));
+            record.line(format!(
+                "server {} crashes in its answer to {id}",
+                server.name
+            ));
             server.crash();
             return false;
         }
@@ -139,6 +131,9 @@
         }
         thread::sleep(Duration::from_millis(60));
     }
-    record.line(format!("server {} has sent the last event of {id}", server.name));
+    record.line(format!(
+        "server {} has sent the last event of {id}",
+        server.name
+    ));
     true
 }
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -215,7 +215,10 @@
         if state.is_away {
             return fail("503 Service Unavailable");
         }
-        let known = state.objects.get(&(kind.to_string(), name.clone())).cloned();
+        let known = state
+            .objects
+            .get(&(kind.to_string(), name.clone()))
+            .cloned();
         let object = match (request.method(), known) {
             ("POST", Some(known)) => {
                 return Some(("409 Conflict".into(), known.json(&name).write()));
@@ -310,7 +313,11 @@
             body,
             status,
         });
-        let status = if status == 200 { "200 OK" } else { "409 Conflict" };
+        let status = if status == 200 {
+            "200 OK"
+        } else {
+            "409 Conflict"
+        };
         Some((status.into(), "{}".into()))
     }
 }
@@ -351,4 +358,3 @@
         }
     }
 }
-
--- a/review/standin/usage.rs
+++ b/review/standin/usage.rs
@@ -12,8 +12,7 @@
 use crate::cluster;
 use crate::cluster::Entry;
 use crate::cluster::Record;
-use crate::cluster::Server;
-use crate::http;
+use crate::cluster::Site;
 use crate::store::CloudCall;
 use crate::store::Store;
 
@@ -36,39 +35,19 @@
 const AWAY_UNTIL: Duration = Duration::from_millis(3_000);
 
 pub fn play(record: &Arc<Record>, tmp: &str, has_trouble: bool) -> Verdict {
-    let net = cluster::network();
-    let (listener, store_address) = cluster::bind(&format!("{net}.1"));
-    let store = Store::start(listener);
-    let publish = {
-        let store = Arc::clone(&store);
-        move || {
-            let routes = vec![cluster::route("/status/", "idempotent", "desk", 2_000, 2)];
-            let tenants: &[(&str, &[&str])] = &[("one", &["k-one"])];
-            store.set("config", "main", cluster::config(3, routes, &["desk"], tenants))
-        }
+    let site = Site::start();
+    let store = &site.store;
+    let publish = || {
+        let route = cluster::route("/status/", "idempotent", "desk", 2_000, 2);
+        site.publish(route, "desk")
     };
     publish();
     for index in 0..2 {
-        let name = format!("i-{index}");
-        let ip = format!("{net}.{}", 2 + index);
-        Server::start(&store, record, &ip, &name, "desk", "a", |server, request, channel| {
-            let id = request.header("x-cassialock-request-id").unwrap_or_default();
-            let head = cluster::stamp(&server.name, id);
-            channel.send(&http::answer("200 OK", &head, "ready"))
-        });
+        site.start_server(record, index, "desk", cluster::answer_at_once);
     }
-    let entries: Vec<Arc<Entry>> = ["a", "b", "c"]
-        .iter()
-        .enumerate()
-        .map(|(index, zone)| {
-            let ip = format!("{net}.{}", 11 + index);
-            Entry::new(tmp, index, &ip, zone, store_address)
-        })
-        .collect();
-    entries.iter().for_each(|entry| entry.spawn(true));
-    if !entries.iter().all(|entry| entry.wait_front()) {
+    let Some(entries) = site.start_entries(tmp, &["a", "b", "c"]) else {
         return Verdict::NotRun;
-    }
+    };
     let is_over = Arc::new(AtomicBool::new(false));
     let clients: Vec<_> = entries
         .iter()
@@ -86,7 +65,7 @@
             })
         })
         .collect();
-    let verdict = run(record, &store, &entries, &publish, has_trouble);
+    let verdict = run(record, store, &entries, &publish, has_trouble);
     is_over.store(true, Ordering::SeqCst);
     for client in clients {
         let _ = client.join();
@@ -125,13 +104,19 @@
     }
     let last = accepted()[known].clone();
     let reported = Instant::now();
-    record.line(format!("{} has reported window {}", last.holder, window(&last)));
+    record.line(format!(
+        "{} has reported window {}",
+        last.holder,
+        window(&last)
+    ));
     let sleep_until = |after: Duration| {
         thread::sleep((reported + after).saturating_duration_since(Instant::now()));
     };
     // The machines get SIGTERM in turn, that of the holder first, and start again.
-    let (first, others): (Vec<Arc<Entry>>, Vec<Arc<Entry>>) =
-        entries.iter().cloned().partition(|entry| entry.name == last.holder);
+    let (first, others): (Vec<Arc<Entry>>, Vec<Arc<Entry>>) = entries
+        .iter()
+        .cloned()
+        .partition(|entry| entry.name == last.holder);
     let turns = first.into_iter().chain(others);
     let restarts: Vec<_> = turns
         .zip(0..)
@@ -145,7 +130,10 @@
                 let has_ended = entry.wait_end(Duration::from_secs(8));
                 entry.kill();
                 entry.spawn(false);
-                record.line(format!("{} starts again (ended by itself: {has_ended})", entry.name));
+                record.line(format!(
+                    "{} starts again (ended by itself: {has_ended})",
+                    entry.name
+                ));
             })
         })
         .collect();
@@ -165,7 +153,11 @@
         let _ = restart.join();
     }
     // Until later windows are reported too.
-    let is_done = || accepted().iter().any(|call| window(call) >= window(&last) + 3);
+    let is_done = || {
+        accepted()
+            .iter()
+            .any(|call| window(call) >= window(&last) + 3)
+    };
     if !cluster::wait_until(Duration::from_secs(40), is_done) {
         record.line("no later usage was reported");
         return Verdict::NotRun;
@@ -188,7 +180,10 @@
     let mut is_broken = false;
     for (window, counts) in reports.iter().filter(|row| row.1.len() > 1) {
         is_broken = true;
-        record.line(format!("window {window} has different counts: {}", counts.join(", ")));
+        record.line(format!(
+            "window {window} has different counts: {}",
+            counts.join(", ")
+        ));
     }
     match is_broken {
         true => Verdict::Broken,
