--- a/review/standin/cluster.rs
+++ b/review/standin/cluster.rs
@@ -260,10 +260,9 @@
         if let Some(child) = self.child.lock().unwrap().as_mut()
             && matches!(child.try_wait(), Ok(None))
         {
-            let id = child.id().to_string();
-            let _ = Command::new("kill")
-                .args([&format!("-{name}"), &id])
-                .status();
+            // The shell has `kill` built in, and not every machine has the program.
+            let kill = format!("kill -s {name} {}", child.id());
+            let _ = Command::new("sh").args(["-c", &kill]).status();
         }
     }
 
