--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -1,8 +1,10 @@
 #!/bin/sh
-# Plays one case: run-case.sh CASE DIR. Exits with 1 if the rule was broken, 0 if it held,
-# and 2 if the case could not run. TROUBLE=0 leaves the disruption out.
+# Plays one case and writes its record: run-case.sh CASE RECORD. Exits with 1 if the rule
+# was broken, 0 if it held, and 2 if the case could not run. TROUBLE=0 leaves the
+# disruption out.
 case_name=$1
-dir=$(cd "$2" && pwd)
+record=$(cd "$(dirname "$2")" && pwd)/$(basename "$2")
+: > "$record" || exit 2
 cd "$(dirname "$0")/.." || exit 2
 if [ ! -x target/review/standin ] || [ ! -x target/release/cassialockd ]; then
     echo "build first: the command of deploy/system.toml, then review/build.sh"
@@ -20,7 +22,7 @@
 }
 trap finish EXIT
 trap 'exit 2' INT TERM
-timeout 115 target/review/standin "$case_name" "$dir" "$tmp"
+timeout 115 target/review/standin "$case_name" "$record" "$tmp"
 code=$?
 [ "$code" -le 1 ] || code=2
 exit "$code"
--- a/review/standin/cluster.rs
+++ b/review/standin/cluster.rs
@@ -27,7 +27,7 @@
 use crate::json::text;
 use crate::store::Store;
 
-/// Writes what happens to `record.txt`, with the time since the start.
+/// Writes what happens to a file, with the time since the start.
 pub struct Record {
     file: Mutex<File>,
     start: Instant,
@@ -36,7 +36,7 @@
 impl Record {
     pub fn new(path: &str) -> Arc<Self> {
         Arc::new(Self {
-            file: Mutex::new(File::create(path).expect("record.txt can be written")),
+            file: Mutex::new(File::create(path).expect("the record can be written")),
             start: Instant::now(),
         })
     }
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,7 +1,7 @@
 //! Stand-ins of the review's scripts, and the scripts' order of events.
 //!
-//! Uses the standard library only. `standin CASE DIR TMP` plays a case, writes
-//! `DIR/record.txt`, and exits with 1 if the rule was broken, 0 if it held, and 2 if the
+//! Uses the standard library only. `standin CASE RECORD TMP` plays a case,
+//! writes the file RECORD, and exits with 1 if the rule was broken, 0 if it held, and 2 if the
 //! case could not run.
 
 mod cluster;
@@ -29,11 +29,11 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, case, dir, tmp] = &arguments[..] else {
+    let [_, case, path, tmp] = &arguments[..] else {
         return ExitCode::from(2);
     };
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
-    let record = Record::new(&format!("{dir}/record.txt"));
+    let record = Record::new(path);
     record.line(format!("{case}, with the disruption: {has_trouble}"));
     let verdict = match case.as_str() {
         "endless" => endless::play(&record, tmp, has_trouble),
