--- a/src/core/route/removal.rs
+++ b/src/core/route/removal.rs
@@ -25,8 +25,13 @@
 /// time means that its server is gone.
 #[derive(Clone, Debug, Default)]
 pub struct RemovalFilter {
+    /// Time of the last response to any call, of this node or of its relay.
+    last_answer: Option<Time>,
+    /// Time of the last response before the first failure that followed it.
     outage_start: Option<Time>,
     served_others: bool,
+    /// Era of the store, which rises when the store returns from an older copy.
+    era: u64,
     outage_end: Option<Time>,
     pending_removals: NameMap<Time>,
 }
@@ -37,18 +42,22 @@
         Self::default()
     }
 
-    /// Records a failed call to the store, whose last response was at `since`.
+    /// Records that a call to the store failed.
     ///
     /// `serves_others` tells whether the store responds to other nodes. In that case
     /// the entries of live servers do not expire, and a server whose entry disappears
     /// is gone.
-    pub fn record_failure(&mut self, serves_others: bool, since: Time, now: Time) {
-        let start = *self.outage_start.get_or_insert(since);
+    pub fn record_failure(&mut self, serves_others: bool, now: Time) {
+        let last_answer = self.last_answer.unwrap_or(now);
+        let start = *self.outage_start.get_or_insert(last_answer);
         self.served_others |= serves_others && now.since(start) >= PEER_REPORT_TIME;
     }
 
-    /// Records a response of the store.
-    pub fn record_answer(&mut self, now: Time) {
+    /// Records a response to any call, which the store sent at `sent` or later.
+    ///
+    /// A store that responds to other calls while one kind of calls fails is not away.
+    pub fn record_answer(&mut self, sent: Time, now: Time) {
+        self.last_answer = self.last_answer.max(Some(sent));
         let was_outage = self
             .outage_start
             .take()
@@ -59,6 +68,22 @@
         }
     }
 
+    /// Records the era that the store is in.
+    ///
+    /// Entries that are missing from an older copy are created again like those that
+    /// expired during an outage.
+    pub fn record_era(&mut self, era: u64, now: Time) {
+        if era > self.era && self.era > 0 {
+            self.outage_end = Some(now);
+        }
+        self.era = self.era.max(era);
+    }
+
+    /// Returns the time of the last response to any call.
+    pub fn last_answer(&self) -> Option<Time> {
+        self.last_answer
+    }
+
     /// Returns whether the server of a disappeared entry is to be removed now.
     ///
     /// Otherwise its removal is pending until [`take_expired`](Self::take_expired)
--- a/src/entry/adapter.rs
+++ b/src/entry/adapter.rs
@@ -232,6 +232,8 @@
     Refused(String),
     /// No response arrived; a write may have been applied or may be applied later.
     Lost(String),
+    /// The connection ended before the response; a write may have been applied.
+    Cut,
     /// The object does not match the condition of the write.
     Conflict,
     /// The object does not exist.
@@ -245,6 +247,7 @@
         match self {
             StoreError::Refused(text) => write!(f, "refused: {text}"),
             StoreError::Lost(text) => write!(f, "no response: {text}"),
+            StoreError::Cut => f.write_str("connection ended before the response"),
             StoreError::Conflict => f.write_str("the object has changed"),
             StoreError::Missing => f.write_str("no such object"),
             StoreError::Garbled(text) => write!(f, "malformed response: {text}"),
@@ -262,7 +265,16 @@
 }
 
 /// Reads and writes the objects of the platform's store.
+///
+/// The store may return from an older copy of itself, which begins a new era. Revisions
+/// of a later era are higher than all of an earlier one.
 pub trait Store: Send + Sync {
+    /// Returns the era of the latest response, or 0 if the store has named none.
+    fn era(&self) -> u64;
+
+    /// Returns the era in which a revision was given out.
+    fn era_of(&self, revision: u64) -> u64;
+
     /// Lists all objects of a kind.
     fn list(
         &self,
--- a/src/entry/backends/mod.rs
+++ b/src/entry/backends/mod.rs
@@ -90,7 +90,6 @@
     /// Replaces the whole list of servers and returns the events to write.
     pub fn replace(&self, list: Vec<BackendServer>, now: Time) -> Vec<Event> {
         let mut state = self.state.lock().unwrap();
-        state.removal_filter.record_answer(now);
         let mut present: Vec<Name> = list.iter().map(|server| server.instance.clone()).collect();
         present.sort_unstable();
         let mut events = Vec::new();
@@ -139,11 +138,10 @@
         changes: Vec<(Name, Option<BackendServer>)>,
         now: Time,
     ) -> Vec<Event> {
-        let mut state = self.state.lock().unwrap();
-        state.removal_filter.record_answer(now);
         if changes.is_empty() {
             return Vec::new();
         }
+        let mut state = self.state.lock().unwrap();
         let mut events = Vec::new();
         for (instance, server) in changes {
             match server {
@@ -155,15 +153,25 @@
         events
     }
 
-    /// Records a failed call to the store.
+    /// Records a failed call to the store, of any kind of objects.
     ///
-    /// `since` is the time of the last response, to this entry or to its relay;
     /// `serves_others` says whether the store still answers other entries.
-    pub fn record_outage(&self, serves_others: bool, since: Time, now: Time) {
+    pub fn record_store_failure(&self, serves_others: bool, now: Time) {
         let mut state = self.state.lock().unwrap();
-        state
-            .removal_filter
-            .record_failure(serves_others, since, now);
+        state.removal_filter.record_failure(serves_others, now);
+    }
+
+    /// Records a response of the store, to a call of this entry or of its relay, which
+    /// was sent at `sent` or later in the era `era` of the store.
+    pub fn record_store_answer(&self, era: u64, sent: Time, now: Time) {
+        let mut state = self.state.lock().unwrap();
+        state.removal_filter.record_answer(sent, now);
+        state.removal_filter.record_era(era, now);
+    }
+
+    /// Returns the time of the last response of the store to any call.
+    pub fn last_store_answer(&self) -> Option<Time> {
+        self.state.lock().unwrap().removal_filter.last_answer()
     }
 
     /// Chooses a server, and counts the request against its rate limit.
--- a/src/entry/feeds/backends.rs
+++ b/src/entry/feeds/backends.rs
@@ -103,14 +103,6 @@
         // still answers: a change may end a watch that has waited for long.
         entry.relay.record_response(entry.clock.now());
     }
-
-    fn record_failure(&mut self, entry: &Entry) {
-        let now = entry.clock.now();
-        let serves_others = entry.membership.has_ready_peer(now);
-        let silence = entry.catalog.age(now).unwrap_or_default();
-        let since = Time(now.0.saturating_sub(silence.as_micros() as u64));
-        entry.backends.record_outage(serves_others, since, now);
-    }
 }
 
 /// Follows the backend servers.
--- a/src/entry/feeds/mod.rs
+++ b/src/entry/feeds/mod.rs
@@ -56,6 +56,9 @@
 /// Longest backoff after repeated failures.
 const MAX_BACKOFF: Duration = Duration::from_millis(250);
 
+/// Longest backoff of a feed whose calls fail while the store answers those of others.
+const MAX_ANSWERED_BACKOFF: Duration = Duration::from_secs(1);
+
 /// Longest backoff of an entry that has a relay, which tells it when the store is
 /// reachable again.
 const RELAYED_BACKOFF: Duration = Duration::from_secs(1);
@@ -120,9 +123,6 @@
 
     /// Records that the applied objects were current at `time`.
     fn confirm(&mut self, _entry: &Entry, _time: Time) {}
-
-    /// Records that a call to the store failed.
-    fn record_failure(&mut self, _entry: &Entry) {}
 }
 
 /// Waits while other entries tell what they read from the store.
@@ -202,7 +202,6 @@
             Ok(SyncOutcome::Abandoned) => state.is_probing = true,
             Err(e) => {
                 state.record_failure(&entry, &e);
-                feed.record_failure(&entry);
                 state.wait_retry(&entry).await;
             }
         }
@@ -239,6 +238,9 @@
             // A call that was sent before the outage may never be answered.
             _ = recoveries.changed() => return Ok(SyncOutcome::Abandoned),
         };
+        if watched.is_ok() {
+            record_answer(entry);
+        }
         match watched {
             Ok(WatchResult::Changes(revision, changes)) => {
                 let is_empty = changes.is_empty();
@@ -279,6 +281,7 @@
         if is_cached {
             let store = &entry.adapter.store;
             let listing = store.list(feed.kind(), Consistency::Cached).await?;
+            record_answer(entry);
             feed.replace(entry, listing.revision, listing.objects);
             feed.write_back(entry).await?;
             self.revision = Some(listing.revision);
@@ -290,6 +293,7 @@
         }
         let store = &entry.adapter.store;
         let listing = store.list(feed.kind(), Consistency::Current).await?;
+        record_answer(entry);
         feed.replace(entry, listing.revision, listing.objects);
         feed.write_back(entry).await?;
         feed.confirm(entry, sent);
@@ -300,12 +304,13 @@
 
     /// Waits before the retry of a failed call.
     ///
-    /// The platform bills refused calls too, so only one feed probes the store and
-    /// notifies the others. Relays retry sooner than the entries that they inform,
-    /// except for the first retry: a single failed call may be due to its connection.
+    /// The platform bills refused calls too, so during an outage only one feed probes the
+    /// store and notifies the others. Relays retry sooner than the entries that they
+    /// inform. A single failed call may be due to its connection, and a store that
+    /// answers other calls is not away, so these do not wait for a notification.
     async fn wait_retry(&self, entry: &Entry) {
+        let is_first = self.backoff == INITIAL_BACKOFF;
         if self.is_prober {
-            let is_first = self.backoff == INITIAL_BACKOFF;
             let longest = if entry.relay.has_relay() && !is_first {
                 RELAYED_BACKOFF
             } else {
@@ -314,24 +319,44 @@
             tokio::time::sleep(longest / 2 + entry.jitter(longest / 2)).await;
             return;
         }
+        if is_first || self.is_answered_elsewhere(entry) {
+            tokio::time::sleep(self.backoff / 2 + entry.jitter(self.backoff / 2)).await;
+            return;
+        }
         let mut recoveries = entry.store_recoveries.subscribe();
         let wait = NOTIFIED_BACKOFF / 2 + entry.jitter(NOTIFIED_BACKOFF / 2);
         // The call is retried both after the timeout and after a notification.
         let _ = tokio::time::timeout(wait, recoveries.changed()).await;
     }
 
+    /// Returns whether the store has answered a call of another feed since this one
+    /// lost it.
+    fn is_answered_elsewhere(&self, entry: &Entry) -> bool {
+        entry.backends.last_store_answer() > self.lost_at
+    }
+
     fn record_failure(&mut self, entry: &Entry, e: &StoreError) {
         let name = self.name;
         metrics::counter!("cassialock_store_failures_total", "call" => name).increment(1);
+        let now = entry.clock.now();
+        // The end of one connection does not show that the store is away.
+        if self.lost_at.is_some() || *e != StoreError::Cut {
+            let serves_others = entry.membership.has_ready_peer(now);
+            entry.backends.record_store_failure(serves_others, now);
+        }
         if self.lost_at.is_none() {
-            self.lost_at = Some(entry.clock.now());
-            entry.events.write(
-                Event::new("store_lost")
-                    .with("feed", name)
-                    .with("reason", e.to_string()),
-            );
+            self.lost_at = Some(now);
+            let last_answer = entry.backends.last_store_answer();
+            let event = Event::new("store_lost").with("feed", name);
+            let event = event.with_ms("silence_ms", now.since(last_answer.unwrap_or(now)));
+            entry.events.write(event.with("reason", e.to_string()));
         } else {
-            self.backoff = (self.backoff * 2).min(MAX_BACKOFF);
+            let longest = if self.is_prober {
+                MAX_BACKOFF
+            } else {
+                MAX_ANSWERED_BACKOFF
+            };
+            self.backoff = (self.backoff * 2).min(longest);
         }
     }
 
@@ -351,6 +376,13 @@
     }
 }
 
+/// Records that the store has answered a call.
+fn record_answer(entry: &Entry) {
+    let now = entry.clock.now();
+    let era = entry.adapter.store.era();
+    entry.backends.record_store_answer(era, now, now);
+}
+
 /// Records an object that cannot be decoded; other objects are not affected.
 fn record_unreadable(entry: &Entry, kind: ObjectKind, object: &str, reason: &str) {
     entry.events.write(
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -367,6 +367,13 @@
         state.record(changes.revision, &changes.changes);
     }
     drop(state);
+    if is_relayed {
+        let store = &entry.adapter.store;
+        let era = changes
+            .as_ref()
+            .map_or(0, |changes| store.era_of(changes.revision));
+        entry.backends.record_store_answer(era, known, now);
+    }
     // The recorded revision has advanced, so the store will not deliver these
     // changes again.
     if let Some(changes) = changes
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -97,7 +97,8 @@
     /// # Errors
     ///
     /// Returns [`StoreError::Refused`] if nothing was sent,
-    /// [`StoreError::Lost`] if no complete response was received, and
+    /// [`StoreError::Cut`] if the connection ended before the response,
+    /// [`StoreError::Lost`] if no complete response was received for another reason, and
     /// [`StoreError::Garbled`] if the response is not valid HTTP.
     pub async fn call(
         &self,
@@ -168,7 +169,7 @@
         .map_err(|e| StoreError::Refused(e.to_string()))?;
     let response = connection.send(request).await.map_err(|e| match e {
         SendError::NotSent(_) => StoreError::Refused("connection closed before sending".into()),
-        SendError::Cut => StoreError::Lost("connection ended before the response".into()),
+        SendError::Cut => StoreError::Cut,
         SendError::Garbled => StoreError::Garbled("response is not valid HTTP".into()),
     })?;
     let status = response.status();
--- a/src/platform/object_store.rs
+++ b/src/platform/object_store.rs
@@ -297,6 +297,14 @@
 }
 
 impl Store for ObjectStore {
+    fn era(&self) -> u64 {
+        self.era.current()
+    }
+
+    fn era_of(&self, revision: u64) -> u64 {
+        store_era::era_of(revision)
+    }
+
     fn list(
         &self,
         kind: ObjectKind,
--- a/tests/entry/fakes.rs
+++ b/tests/entry/fakes.rs
@@ -3,6 +3,8 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use cassialock::clock::Clock;
@@ -60,12 +62,25 @@
     pub watches: Mutex<Vec<WatchCall>>,
     /// Blocks of crashing requests that were written.
     pub written: Mutex<Vec<Object>>,
+    /// Era that the store names.
+    pub era: AtomicU64,
 }
 
+/// Number of revisions in an era.
+pub const ERA_REVISIONS: u64 = 1_000;
+
 /// Answers watch calls from a script and always lists the same objects.
 pub struct FakeStore(pub Arc<Script>);
 
 impl Store for FakeStore {
+    fn era(&self) -> u64 {
+        self.0.era.load(Ordering::Relaxed)
+    }
+
+    fn era_of(&self, revision: u64) -> u64 {
+        revision / ERA_REVISIONS
+    }
+
     fn list(
         &self,
         _kind: ObjectKind,
--- a/tests/entry/feeds.rs
+++ b/tests/entry/feeds.rs
@@ -1,6 +1,7 @@
 //! Tests of how feeds follow the store through outages.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use cassialock::entry::adapter::Change;
@@ -99,6 +100,51 @@
     assert!(entry.backends.has_usable("dosel-llm", now));
 }
 
+/// Guards against sending to servers that are gone: the watch that reports them was cut and
+/// not repeated for up to 2 s.
+#[tokio::test(start_paused = true)]
+async fn a_cut_watch_of_the_servers_is_repeated_at_once() {
+    let cut = || Answer::Now(Err(StoreError::Cut));
+    let script = script(vec![cut(), Answer::AfterWait, cut(), removal("i-1")]);
+    let entry = fakes::entry(&script);
+    let task = tokio::spawn(feeds::backends::follow(Arc::clone(&entry)));
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    task.abort();
+    assert!(script.answers.lock().unwrap().is_empty());
+    assert!(!entry.backends.has_usable("dosel-llm", entry.clock.now()));
+}
+
+/// Guards against keeping servers that are gone after one cut call, which was taken for an
+/// outage of the store.
+#[tokio::test(start_paused = true)]
+async fn a_removal_after_a_cut_watch_takes_effect_at_once() {
+    let script = script(vec![Answer::Now(Err(StoreError::Cut)), removal("i-1")]);
+    let entry = fakes::entry(&script);
+    entry.catalog.confirm(entry.clock.now());
+    tokio::time::advance(Duration::from_secs(2)).await;
+    let task = tokio::spawn(feeds::backends::follow(Arc::clone(&entry)));
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    task.abort();
+    assert!(script.answers.lock().unwrap().is_empty());
+    assert!(!entry.backends.has_usable("dosel-llm", entry.clock.now()));
+}
+
+/// Guards against dropping live servers that the older copy of the store lacks, where a relay
+/// tells of the new era.
+#[tokio::test(start_paused = true)]
+async fn a_removal_after_a_restore_is_held_back() {
+    let script = script(vec![Answer::Now(Ok(WatchResult::HistoryGone))]);
+    script.era.store(1, Ordering::Relaxed);
+    let entry = fakes::entry(&script);
+    let task = tokio::spawn(feeds::backends::follow(Arc::clone(&entry)));
+    tokio::time::sleep(Duration::from_millis(10)).await;
+    script.era.store(2, Ordering::Relaxed);
+    script.listing.lock().unwrap().objects.clear();
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    task.abort();
+    assert!(entry.backends.has_usable("dosel-llm", entry.clock.now()));
+}
+
 /// A call that is lost in an outage is never answered, so a feed must not wait for
 /// it once the store is reachable again.
 #[tokio::test(start_paused = true)]
