--- a/src/entry/feeds/mod.rs
+++ b/src/entry/feeds/mod.rs
@@ -8,6 +8,7 @@
 
 use futures_util::future::BoxFuture;
 
+use crate::core::Name;
 use crate::core::time::Time;
 use crate::entry::Entry;
 use crate::entry::adapter::Change;
@@ -63,6 +64,9 @@
 /// reachable again.
 const RELAYED_BACKOFF: Duration = Duration::from_secs(1);
 
+/// Number of objects that cannot be decoded which are logged.
+const MAX_UNREADABLE_LOGGED: usize = 256;
+
 /// How a feed resumes after a relay supplied the updates for a time.
 enum Resume {
     /// Watches from a revision.
@@ -384,7 +388,21 @@
 }
 
 /// Records an object that cannot be decoded; other objects are not affected.
+///
+/// Each object is logged once, since its writer may write it often.
 fn record_unreadable(entry: &Entry, kind: ObjectKind, object: &str, reason: &str) {
+    metrics::counter!("cassialock_objects_unreadable_total", "kind" => format!("{kind:?}"))
+        .increment(1);
+    let row = (kind, Name::from(object));
+    let mut logged = entry.unreadable.lock().unwrap();
+    let Err(index) = logged.binary_search(&row) else {
+        return;
+    };
+    if logged.len() >= MAX_UNREADABLE_LOGGED {
+        return;
+    }
+    logged.insert(index, row);
+    drop(logged);
     entry.events.write(
         Event::new("object_unreadable")
             .with("kind", format!("{kind:?}"))
--- a/src/entry/feeds/nodes.rs
+++ b/src/entry/feeds/nodes.rs
@@ -53,8 +53,13 @@
 impl NodesFeed {
     fn apply_object(&mut self, entry: &Entry, object: Object) -> Option<u64> {
         let now = entry.clock.now();
-        let Content::Record(value) = object.content else {
-            return None;
+        let value = match object.content {
+            Content::Record(value) => value,
+            Content::Unreadable(reason) => {
+                feeds::record_unreadable(entry, ObjectKind::Nodes, &object.name, &reason);
+                return None;
+            }
+            Content::Catalog(_) | Content::Backend(_) | Content::Move(_) => return None,
         };
         match serde_json::from_value::<Registration>(value) {
             Ok(registration) => {
--- a/src/entry/feeds/quarantine.rs
+++ b/src/entry/feeds/quarantine.rs
@@ -18,8 +18,13 @@
 struct QuarantineFeed;
 
 fn add(entry: &Entry, object: Object) {
-    let Content::Record(value) = object.content else {
-        return;
+    let value = match object.content {
+        Content::Record(value) => value,
+        Content::Unreadable(reason) => {
+            let kind = ObjectKind::Quarantine;
+            return feeds::record_unreadable(entry, kind, &object.name, &reason);
+        }
+        Content::Catalog(_) | Content::Backend(_) | Content::Move(_) => return,
     };
     match serde_json::from_value::<Block>(value) {
         Ok(block) => {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -22,9 +22,11 @@
 use tokio::task::JoinHandle;
 
 use crate::clock::Clock;
+use crate::core::Name;
 use crate::core::time::Time;
 use crate::entry::adapter::Adapter;
 use crate::entry::adapter::DeclaredMove;
+use crate::entry::adapter::ObjectKind;
 use crate::entry::backends::Backends;
 use crate::entry::catalog::CurrentCatalog;
 use crate::entry::limits::Limits;
@@ -110,6 +112,8 @@
     pub reserved_bytes: AtomicUsize,
     /// Number of times the store became reachable again after an outage.
     pub store_recoveries: watch::Sender<u64>,
+    /// Objects of the store that could not be decoded and were logged, sorted.
+    pub unreadable: Mutex<Vec<(ObjectKind, Name)>>,
     /// Becomes true when the entry starts to stop.
     pub leaving: watch::Sender<bool>,
     /// Time at which open requests are aborted, once the entry has started to stop.
@@ -140,6 +144,7 @@
             open_requests: InFlight::new(),
             reserved_bytes: AtomicUsize::new(0),
             store_recoveries: watch::channel(0).0,
+            unreadable: Mutex::new(Vec::new()),
             leaving: watch::channel(false).0,
             stop_at: OnceLock::new(),
             rng: Mutex::new(SmallRng::seed_from_u64(seed)),
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -15,6 +15,7 @@
 pub mod client;
 pub mod cloud;
 pub mod decode;
+pub mod json_parts;
 pub mod object_store;
 pub mod protocol;
 pub mod settings_file;
--- a/src/platform/object_store.rs
+++ b/src/platform/object_store.rs
@@ -8,9 +8,9 @@
 use http::Method;
 use http::StatusCode;
 use serde::Deserialize;
+use serde::de::DeserializeOwned;
 use serde_json::Value;
 use serde_json::json;
-use serde_json::value::RawValue;
 
 use crate::core::Name;
 use crate::entry::adapter::Change;
@@ -27,6 +27,7 @@
 use crate::platform::client::ApiRequest;
 use crate::platform::client::ApiResponse;
 use crate::platform::decode;
+use crate::platform::json_parts;
 use crate::platform::store_era;
 use crate::platform::store_era::Answered;
 use crate::platform::store_era::StoreEra;
@@ -61,68 +62,64 @@
     }
 }
 
-/// An object as the store encodes it.
-///
-/// Anyone may write objects, so their contents are decoded one by one: a content that
-/// cannot be read, such as one nested too deeply, must not affect the others.
-#[derive(Debug, Deserialize)]
-struct WireObject {
-    metadata: WireMeta,
-    #[serde(default)]
-    spec: Option<Box<RawValue>>,
-    #[serde(default)]
-    status: Option<Box<RawValue>>,
-}
-
 #[derive(Debug, Deserialize)]
 struct WireMeta {
     name: String,
     revision: u64,
 }
 
-/// A page of a listing.
-#[derive(Debug, Deserialize)]
-struct WirePage {
-    items: Vec<Box<RawValue>>,
-    #[serde(default)]
-    has_more: bool,
-    /// Revision of the store that the page reflects.
-    as_of: u64,
+/// Returns the undecoded parts of a list in a response.
+fn list_parts<'a>(body: &'a [u8], name: &str) -> Result<Vec<&'a [u8]>, StoreError> {
+    json_parts::member(body, name)
+        .and_then(json_parts::elements)
+        .ok_or_else(|| StoreError::Garbled(format!("no list {name:?}")))
 }
 
-#[derive(Debug, Deserialize)]
-struct WireEvents {
-    events: Vec<WireEvent>,
-    /// Revision after which the next watch continues.
-    as_of: u64,
+/// Parses a member of a response.
+fn parse_member<T: DeserializeOwned>(body: &[u8], name: &str) -> Result<T, StoreError> {
+    let value = json_parts::member(body, name);
+    value
+        .and_then(|value| serde_json::from_slice(value).ok())
+        .ok_or_else(|| StoreError::Garbled(format!("no valid {name:?}")))
 }
 
-#[derive(Debug, Deserialize)]
-struct WireEvent {
-    object: Box<RawValue>,
-    #[serde(default)]
-    deleted: bool,
+/// Parses the metadata of an object.
+fn parse_meta(object: &[u8]) -> Option<WireMeta> {
+    serde_json::from_slice(json_parts::member(object, "metadata")?).ok()
+}
+
+/// Returns the undecoded name of an object.
+fn raw_name(object: &[u8]) -> Option<&[u8]> {
+    let meta = json_parts::member(object, "metadata")?;
+    json_parts::unquoted(json_parts::member(meta, "name")?)
 }
 
 /// Decodes one object of an era; returns `None` if its metadata cannot be read.
-fn decode_object(kind: ObjectKind, era: u64, text: &str) -> Option<Object> {
-    let wire: WireObject = serde_json::from_str(text).ok()?;
+///
+/// Anyone may write objects, so they are decoded one by one: one that cannot be read,
+/// such as one nested too deeply or not in UTF-8, must not affect the others.
+fn decode_object(kind: ObjectKind, era: u64, text: &[u8]) -> Option<Object> {
+    let Some(meta) = parse_meta(text) else {
+        metrics::counter!("cassialock_objects_unnamed_total", "kind" => kind_name(kind))
+            .increment(1);
+        return None;
+    };
     Some(Object {
-        content: decode_content(kind, &wire),
-        name: wire.metadata.name.into(),
-        revision: store_era::position(era, wire.metadata.revision),
+        content: decode_content(kind, &meta, text),
+        name: meta.name.into(),
+        revision: store_era::position(era, meta.revision),
     })
 }
 
-fn decode_content(kind: ObjectKind, wire: &WireObject) -> Content {
-    let spec = match parse_part(wire.spec.as_deref()) {
+fn decode_content(kind: ObjectKind, meta: &WireMeta, text: &[u8]) -> Content {
+    let spec = match parse_part(text, "spec") {
         Ok(spec) => spec,
         Err(e) => return Content::Unreadable(format!("spec: {e}")),
     };
     match kind {
         ObjectKind::Catalog => decode::catalog(spec),
-        ObjectKind::Backends => decode::backend(&wire.metadata.name, &spec),
-        ObjectKind::Moves => match parse_part(wire.status.as_deref()) {
+        ObjectKind::Backends => decode::backend(&meta.name, &spec),
+        ObjectKind::Moves => match parse_part(text, "status") {
             Ok(status) => decode::version_move(spec, &status),
             Err(e) => Content::Unreadable(format!("status: {e}")),
         },
@@ -135,28 +132,29 @@
 }
 
 /// Parses a part of an object, or returns null if it is missing.
-fn parse_part(part: Option<&RawValue>) -> serde_json::Result<Value> {
-    part.map_or(Ok(Value::Null), |part| serde_json::from_str(part.get()))
+fn parse_part(object: &[u8], name: &str) -> serde_json::Result<Value> {
+    json_parts::member(object, name).map_or(Ok(Value::Null), serde_json::from_slice)
 }
 
 /// Returns the path and query that list the objects of a kind after a name.
-fn list_target(kind: ObjectKind, after: &str, consistency: Consistency) -> String {
-    let mut query = form_urlencoded::Serializer::new(String::new());
+fn list_target(kind: ObjectKind, after: &[u8], consistency: Consistency) -> String {
+    let mut query = Vec::new();
     if !after.is_empty() {
-        query.append_pair("after", after);
+        let after: String = form_urlencoded::byte_serialize(after).collect();
+        query.push(format!("after={after}"));
     }
     if consistency == Consistency::Cached {
-        query.append_pair("serializable", "1");
+        query.push("serializable=1".into());
     }
     let path = format!("/v1/objects/{}", kind_name(kind));
-    match query.finish() {
-        query if query.is_empty() => path,
-        query => format!("{path}?{query}"),
+    if query.is_empty() {
+        return path;
     }
+    format!("{path}?{}", query.join("&"))
 }
 
-fn parse_json<T: serde::de::DeserializeOwned>(response: &ApiResponse) -> Result<T, StoreError> {
-    serde_json::from_slice(&response.body).map_err(|e| StoreError::Garbled(e.to_string()))
+fn unreadable_meta() -> StoreError {
+    StoreError::Garbled("unreadable object metadata".into())
 }
 
 /// Returns an error if the status of a response is not a success.
@@ -211,28 +209,33 @@
         consistency: Consistency,
     ) -> Result<Listing, StoreError> {
         let mut listing = Listing::default();
-        let mut after = String::new();
+        let mut after = Vec::new();
         loop {
             let target = list_target(kind, &after, consistency);
             let StoreResponse { response, era } =
                 self.call(ApiRequest::new(Method::GET, target)).await?;
-            let page: WirePage = parse_json(&response)?;
+            let page = &response.body;
+            let items = list_parts(page, "items")?;
+            let as_of = parse_member(page, "as_of")?;
             // The listing keeps the revision of the first page, so that the watch
             // that follows reports changes made while later pages were read.
             if listing.revision == 0 {
-                listing.revision = store_era::position(era, page.as_of);
+                listing.revision = store_era::position(era, as_of);
             }
             if store_era::era_of(listing.revision) != era {
                 return Err(StoreError::Lost("the era ended during a listing".into()));
             }
-            let objects = page
-                .items
-                .into_iter()
-                .filter_map(|item| decode_object(kind, era, item.get()));
+            let objects = items.iter();
+            let objects = objects.filter_map(|item| decode_object(kind, era, item));
             listing.objects.extend(objects);
-            let last_name = listing.objects.last().map(|object| object.name.to_string());
-            match last_name {
-                Some(last_name) if page.has_more && last_name != after => after = last_name,
+            // A name that cannot be read is still passed.
+            let last = items.last().and_then(|item| match parse_meta(item) {
+                Some(meta) => Some(meta.name.into_bytes()),
+                None => raw_name(item).map(<[u8]>::to_vec),
+            });
+            let has_more = json_parts::member(page, "has_more") == Some(b"true");
+            match last {
+                Some(last) if has_more && last != after => after = last,
                 _ => return Ok(listing),
             }
         }
@@ -259,15 +262,16 @@
         if is_gone {
             return Ok(WatchResult::HistoryGone);
         }
-        let changes: WireEvents = parse_json(&check_status(response)?)?;
-        let decoded = changes.events.into_iter().filter_map(|event| {
+        let body = check_status(response)?.body;
+        let events = list_parts(&body, "events")?;
+        let as_of = store_era::position(era, parse_member(&body, "as_of")?);
+        let changes = events.iter().filter_map(|event| {
             Some(Change {
-                object: decode_object(kind, era, event.object.get())?,
-                is_removed: event.deleted,
+                object: decode_object(kind, era, json_parts::member(event, "object")?)?,
+                is_removed: json_parts::member(event, "deleted") == Some(b"true"),
             })
         });
-        let as_of = store_era::position(era, changes.as_of);
-        Ok(WatchResult::Changes(as_of, decoded.collect()))
+        Ok(WatchResult::Changes(as_of, changes.collect()))
     }
 
     async fn put(
@@ -291,8 +295,8 @@
         if revision.is_some_and(|position| store_era::era_of(position) != era) {
             return Err(StoreError::Lost("the era ended before the write".into()));
         }
-        let written: WireObject = parse_json(&response)?;
-        Ok(store_era::position(era, written.metadata.revision))
+        let written = parse_meta(&response.body).ok_or_else(unreadable_meta)?;
+        Ok(store_era::position(era, written.revision))
     }
 }
 
@@ -331,10 +335,8 @@
         Box::pin(async move {
             match self.call(ApiRequest::new(Method::GET, target)).await {
                 Ok(StoreResponse { response, era }) => {
-                    let text: Box<RawValue> = parse_json(&response)?;
-                    let object = decode_object(kind, era, text.get());
-                    let unreadable = || StoreError::Garbled("unreadable object metadata".into());
-                    object.map(Some).ok_or_else(unreadable)
+                    let object = decode_object(kind, era, &response.body);
+                    object.map(Some).ok_or_else(unreadable_meta)
                 }
                 Err(StoreError::Missing) => Ok(None),
                 Err(e) => Err(e),
--- a/tests/contract/odd_entries.rs
+++ b/tests/contract/odd_entries.rs
@@ -35,7 +35,8 @@
 }
 
 /// Returns a client of a store that answers every call with `body`.
-async fn store_of(body: String) -> ObjectStore {
+async fn store_of(body: impl Into<bytes::Bytes>) -> ObjectStore {
+    let body = body.into();
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     tokio::spawn(async move {
@@ -108,3 +109,107 @@
         assert!(matches!(content, Content::Unreadable(_)), "{kind:?}");
     }
 }
+
+/// Replaces the marker `BYTE` by a byte that is no UTF-8.
+fn with_bad_byte(text: &str) -> Vec<u8> {
+    let (before, after) = text.split_once("BYTE").unwrap();
+    [before.as_bytes(), &[0xff], after.as_bytes()].concat()
+}
+
+/// Contents of a server's entry that are no JSON in UTF-8.
+fn unreadable_contents() -> Vec<Vec<u8>> {
+    vec![
+        with_bad_byte(&SOUND.replace("v1", "BYTE")),
+        with_bad_byte(&SOUND.replace("version", "BYTE")),
+        SOUND.replace("v1", "\u{1}").into_bytes(),
+        SOUND.replace("v1", "\\ud800").into_bytes(),
+        SOUND.replace(":4,", ":007,").into_bytes(),
+        SOUND.replace(":4,", ":NaN,").into_bytes(),
+    ]
+}
+
+/// Guards against finding no server, because the entry of another writer is not in UTF-8.
+#[tokio::test]
+async fn an_entry_that_is_no_text_does_not_hide_the_others() {
+    for odd in unreadable_contents() {
+        let shown = String::from_utf8_lossy(&odd).into_owned();
+        let (before, after) = (br#"{"metadata":{"name":"odd","revision":7},"spec":"#, b"}");
+        let odd = [before.as_slice(), &odd, after].concat();
+        let sound = object("sound", SOUND).into_bytes();
+        let page = [b"{\"items\":[", &*odd, b",", &*sound, b"],\"as_of\":9}"].concat();
+        let store = store_of(page).await;
+        let listing = store.list(ObjectKind::Backends, Consistency::Current).await;
+        assert_one_usable(&listing.unwrap().objects, &shown);
+        let events = [
+            b"{\"events\":[{\"object\":",
+            &*odd,
+            b"},{\"object\":",
+            &*sound,
+            b"}],\"as_of\":9}",
+        ];
+        let store = store_of(events.concat()).await;
+        let watched = store
+            .watch(ObjectKind::Backends, 5, Duration::from_millis(1))
+            .await;
+        let Ok(WatchResult::Changes(9, changes)) = watched else {
+            panic!("{watched:?}");
+        };
+        let objects: Vec<Object> = changes.into_iter().map(|change| change.object).collect();
+        assert_one_usable(&objects, &shown);
+    }
+}
+
+/// Guards against finding no server, because the name of another entry is not in UTF-8.
+#[tokio::test]
+async fn an_entry_whose_name_is_no_text_does_not_hide_the_others() {
+    let items = [object("BYTE", SOUND), object("sound", SOUND)].join(",");
+    let store = store_of(with_bad_byte(&format!(
+        r#"{{"items":[{items}],"as_of":9}}"#
+    )))
+    .await;
+    let listing = store.list(ObjectKind::Backends, Consistency::Current).await;
+    let objects = listing.unwrap().objects;
+    assert_eq!(objects.len(), 1);
+    assert!(matches!(objects[0].content, Content::Backend(_)));
+}
+
+/// Guards against a listing that ends at a page whose last name is not in UTF-8.
+#[tokio::test]
+async fn a_listing_goes_on_after_a_name_that_is_no_text() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (_keep, stopped) = watch::channel(false);
+        let handler = |request: http::Request<hyper::body::Incoming>, _| async move {
+            let page = match request.uri().query() {
+                None => format!(
+                    r#"{{"items":[{}],"has_more":true,"as_of":9}}"#,
+                    object("BYTE", SOUND)
+                ),
+                Some("after=%FF") => {
+                    format!(
+                        r#"{{"items":[{}],"note":"BYTE","as_of":9}}"#,
+                        object("sound", SOUND)
+                    )
+                }
+                Some(_) => r#"{"items":[],"note":"BYTE","as_of":9}"#.into(),
+            };
+            cassialock::web::text(http::StatusCode::OK, with_bad_byte(&page))
+        };
+        cassialock::web::serve(listener, handler, stopped).await;
+    });
+    let store = ObjectStore::new(Arc::new(ApiClient::new()), address);
+    let listing = store.list(ObjectKind::Backends, Consistency::Current).await;
+    assert_eq!(listing.unwrap().objects.len(), 1);
+}
+
+/// Guards against a lease that cannot be taken, because its object is not in UTF-8.
+#[tokio::test]
+async fn an_object_of_ours_that_is_no_text_can_be_replaced() {
+    let text = r#"{"metadata":{"name":"duties","revision":7},"spec":{"holder":"BYTE"}}"#;
+    let store = store_of(with_bad_byte(text)).await;
+    let object = store.get(ObjectKind::Leases, "duties").await.unwrap();
+    let object = object.unwrap();
+    assert_eq!(object.revision, 7);
+    assert!(matches!(object.content, Content::Unreadable(_)));
+}
