--- a/src/core/route/removal.rs
+++ b/src/core/route/removal.rs
@@ -30,8 +30,9 @@
     /// Time of the last response before the first failure that followed it.
     outage_start: Option<Time>,
     served_others: bool,
-    /// Era of the store, which rises when the store returns from an older copy.
-    era: u64,
+    /// Era of the store, which rises when the store returns from an older copy, or `None`
+    /// before the first response.
+    era: Option<u64>,
     outage_end: Option<Time>,
     pending_removals: NameMap<Time>,
 }
@@ -73,10 +74,10 @@
     /// Entries that are missing from an older copy are created again like those that
     /// expired during an outage.
     pub fn record_era(&mut self, era: u64, now: Time) {
-        if era > self.era && self.era > 0 {
+        if self.era.is_some_and(|known| era > known) {
             self.outage_end = Some(now);
         }
-        self.era = self.era.max(era);
+        self.era = self.era.max(Some(era));
     }
 
     /// Returns the time of the last response to any call.
--- a/src/entry/backends/mod.rs
+++ b/src/entry/backends/mod.rs
@@ -162,11 +162,13 @@
     }
 
     /// Records a response of the store, to a call of this entry or of its relay, which
-    /// was sent at `sent` or later in the era `era` of the store.
-    pub fn record_store_answer(&self, era: u64, sent: Time, now: Time) {
+    /// was sent at `sent` or later; `era` is the era of the store, if it is known.
+    pub fn record_store_answer(&self, era: Option<u64>, sent: Time, now: Time) {
         let mut state = self.state.lock().unwrap();
         state.removal_filter.record_answer(sent, now);
-        state.removal_filter.record_era(era, now);
+        if let Some(era) = era {
+            state.removal_filter.record_era(era, now);
+        }
     }
 
     /// Returns the time of the last response of the store to any call.
--- a/src/entry/feeds/mod.rs
+++ b/src/entry/feeds/mod.rs
@@ -384,7 +384,7 @@
 fn record_answer(entry: &Entry) {
     let now = entry.clock.now();
     let era = entry.adapter.store.era();
-    entry.backends.record_store_answer(era, now, now);
+    entry.backends.record_store_answer(Some(era), now, now);
 }
 
 /// Records an object that cannot be decoded; other objects are not affected.
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -369,9 +369,8 @@
     drop(state);
     if is_relayed {
         let store = &entry.adapter.store;
-        let era = changes
-            .as_ref()
-            .map_or(0, |changes| store.era_of(changes.revision));
+        let changes = changes.as_ref();
+        let era = changes.map(|changes| store.era_of(changes.revision));
         entry.backends.record_store_answer(era, known, now);
     }
     // The recorded revision has advanced, so the store will not deliver these
--- a/tests/decisions/removal.rs
+++ b/tests/decisions/removal.rs
@@ -89,10 +89,13 @@
 /// Guards against dropping live servers whose entries the older copy of a store lacks.
 #[test]
 fn an_entry_that_an_older_copy_of_the_store_lacks_is_held() {
-    let mut filter = RemovalFilter::new();
-    filter.record_era(1, time_at(0));
-    answer(&mut filter, 0);
-    answer(&mut filter, 1_000);
-    filter.record_era(2, time_at(1_000));
-    assert!(!filter.should_remove(&Name::from("i-1"), time_at(1_000)));
+    for first in [0, 1] {
+        let mut filter = RemovalFilter::new();
+        filter.record_era(first, time_at(0));
+        answer(&mut filter, 0);
+        answer(&mut filter, 1_000);
+        assert!(filter.should_remove(&Name::from("i-1"), time_at(1_000)));
+        filter.record_era(first + 1, time_at(1_000));
+        assert!(!filter.should_remove(&Name::from("i-1"), time_at(1_000)));
+    }
 }
--- a/tests/entry/feeds.rs
+++ b/tests/entry/feeds.rs
@@ -129,19 +129,19 @@
     assert!(!entry.backends.has_usable("dosel-llm", entry.clock.now()));
 }
 
-/// Guards against dropping live servers that the older copy of the store lacks, where a relay
-/// tells of the new era.
+/// Guards against dropping live servers that the older copy of the store lacks.
 #[tokio::test(start_paused = true)]
-async fn a_removal_after_a_restore_is_held_back() {
-    let script = script(vec![Answer::Now(Ok(WatchResult::HistoryGone))]);
-    script.era.store(1, Ordering::Relaxed);
+async fn a_removal_after_the_first_restore_is_held_back() {
+    let gone = Answer::Now(Ok(WatchResult::HistoryGone));
+    let script = script(vec![Answer::AfterWait, gone]);
     let entry = fakes::entry(&script);
     let task = tokio::spawn(feeds::backends::follow(Arc::clone(&entry)));
-    tokio::time::sleep(Duration::from_millis(10)).await;
-    script.era.store(2, Ordering::Relaxed);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    script.era.store(1, Ordering::Relaxed);
     script.listing.lock().unwrap().objects.clear();
-    tokio::time::sleep(Duration::from_millis(500)).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
     task.abort();
+    assert!(script.answers.lock().unwrap().is_empty());
     assert!(entry.backends.has_usable("dosel-llm", entry.clock.now()));
 }
 
