--- a/src/core/lease/mod.rs
+++ b/src/core/lease/mod.rs
@@ -15,6 +15,7 @@
 use crate::core::config::Fencing;
 use crate::core::time::Time;
 
+pub mod fence;
 pub mod version_order;
 
 /// Duration of a lease.
@@ -127,6 +128,10 @@
     ///
     /// The store may come back from an older copy, in which a used token is free again.
     highest_fence: u64,
+    /// Era of the store that the next lease is written in.
+    era: u64,
+    /// Whether the lease was not read yet in this era.
+    must_read: bool,
 }
 
 impl LeaderElector {
@@ -142,6 +147,8 @@
             last_write: None,
             read_at: Time::default(),
             highest_fence: 0,
+            era: 0,
+            must_read: false,
         }
     }
 
@@ -155,8 +162,12 @@
     /// Records the lease object as read at `now`.
     pub fn record_read(&mut self, lease: Option<Lease>, now: Time) {
         self.read_at = now;
+        self.must_read = false;
         let Some(lease) = lease else {
-            self.observed = None;
+            // The holder of a lease of an ended era may act until the end of its term.
+            let era = self.era;
+            let is_earlier = |observed: &Observed| fence::era_of(observed.lease.fence) < era;
+            self.observed = self.observed.take().filter(is_earlier);
             return;
         };
         self.highest_fence = self.highest_fence.max(lease.fence);
@@ -196,6 +207,14 @@
         });
     }
 
+    /// Records that the store is in a later era, in which no lease was read yet, and that
+    /// this node no longer holds the lease of the ended one.
+    pub fn record_era(&mut self, era: u64) {
+        self.era = era;
+        self.must_read = true;
+        self.invalidate();
+    }
+
     /// Records that a write failed or has an unknown outcome, so that the lease
     /// is no longer relied on.
     pub fn invalidate(&mut self) {
@@ -212,16 +231,10 @@
         if !is_candidate {
             return Action::Wait;
         }
-        let next = match &self.observed {
-            None => self.next_lease(),
-            Some(observed)
-                if !observed.lease.is_released()
-                    && now.since(observed.changed_at) < self.timings.term =>
-            {
-                return Action::Wait;
-            }
-            Some(_) => self.next_lease(),
-        };
+        if !self.is_free(now) {
+            return Action::Wait;
+        }
+        let next = self.next_lease();
         // A write that fails may have taken effect.
         self.highest_fence = next.fence;
         self.write(next, now)
@@ -231,7 +244,7 @@
     fn next_lease(&self) -> Lease {
         Lease {
             holder: self.node.clone(),
-            fence: self.highest_fence + 1,
+            fence: fence::first(self.era).max(self.highest_fence + 1),
             renewal: 0,
         }
     }
@@ -297,10 +310,24 @@
     /// Returns whether the lease can be acquired, as far as this node knows.
     pub fn is_free(&self, now: Time) -> bool {
         self.observed.as_ref().is_none_or(|observed| {
-            observed.lease.is_released() || now.since(observed.changed_at) >= self.timings.term
+            observed.lease.is_released()
+                || self.is_own_earlier(&observed.lease)
+                || now.since(observed.changed_at) >= self.timings.term
         })
     }
 
+    /// Returns whether this node held the lease when the era of the store ended, so that
+    /// no other node can act before it.
+    pub fn held_before_era(&self) -> bool {
+        let observed = self.observed.as_ref();
+        observed.is_some_and(|observed| self.is_own_earlier(&observed.lease))
+    }
+
+    /// Returns whether a lease is one of this node in an ended era.
+    fn is_own_earlier(&self, lease: &Lease) -> bool {
+        lease.holder == self.node && fence::era_of(lease.fence) < self.era
+    }
+
     /// Returns whether the lease did not change for longer than renewals take
     /// to be reported, so that it should be read.
     ///
@@ -312,7 +339,8 @@
             return true;
         };
         let last_seen = self.read_at.max(observed.changed_at);
-        observed.lease.is_released()
+        self.must_read
+            || observed.lease.is_released()
             || now.since(last_seen) >= self.timings.term.mul_f64(STALE_FRACTION)
     }
 
--- a/src/entry/leader/mod.rs
+++ b/src/entry/leader/mod.rs
@@ -8,6 +8,7 @@
 
 use serde_json::Value;
 
+use crate::core::Name;
 use crate::core::config::Fencing;
 use crate::core::fleet::scaling::Autoscaler;
 use crate::core::lease::Action;
@@ -65,6 +66,8 @@
     /// The last lease write that failed or got no response, and when it was sent.
     pending: Option<(Lease, Time)>,
     claim: Option<UsageClaim>,
+    /// Era of the store in which the lease and the claim are kept.
+    era: u64,
     autoscalers: NameMap<Autoscaler>,
     cleaned_at: Time,
     moves_reported: Time,
@@ -88,6 +91,7 @@
         revision: None,
         pending: None,
         claim: None,
+        era: 0,
         autoscalers: NameMap::new(),
         cleaned_at: entry.clock.now(),
         moves_reported: Time::default(),
@@ -103,6 +107,7 @@
 impl Leadership {
     async fn step(&mut self, entry: &Entry) {
         let now = entry.clock.now();
+        self.note_era(entry);
         self.remove_registrations(entry).await;
         if let Some(lease) = entry.membership.lease(now) {
             self.lease_state.record_reported(lease, now);
@@ -116,7 +121,8 @@
         let holder = self.lease_state.holder().cloned();
         let own = entry.settings.load().node.clone();
         let is_candidate = |holder| entry.membership.is_lease_candidate(&own, holder, now);
-        let wants_lease = is_ready && (is_holder || is_candidate(holder.as_ref()));
+        let is_next = self.lease_state.held_before_era() || is_candidate(holder.as_ref());
+        let wants_lease = is_ready && (is_holder || is_next);
         if wants_lease && !is_holder {
             if self.lease_state.is_stale(now) && !self.read_lease(entry).await {
                 return;
@@ -136,14 +142,49 @@
         }
     }
 
+    /// Notes a new era of the store and returns whether one has begun.
+    ///
+    /// This is checked after every call for the lease or the claim: what was read or
+    /// written in an ended era says nothing about the current one.
+    fn note_era(&mut self, entry: &Entry) -> bool {
+        let era = entry.adapter.store.era();
+        if era == self.era {
+            return false;
+        }
+        self.lease_state.record_era(era);
+        entry.events.write(
+            Event::new("store_era_began")
+                .with("era", era)
+                .with("era_before", self.era),
+        );
+        self.era = era;
+        self.revision = None;
+        self.pending = None;
+        self.claim = None;
+        entry.membership.set_lease(None);
+        true
+    }
+
+    /// Returns the name of the object that takes the place of `name` in this era.
+    ///
+    /// A write that the store carries out late cannot affect an object of a later era.
+    fn era_name(&self, name: &str) -> Name {
+        match self.era {
+            0 => name.into(),
+            era => format!("{name}-{era}").into(),
+        }
+    }
+
     /// Reads the lease and returns whether that succeeded.
     async fn read_lease(&mut self, entry: &Entry) -> bool {
-        match entry
-            .adapter
-            .store
-            .get(ObjectKind::Leases, LEASE_NAME)
-            .await
-        {
+        let store = &entry.adapter.store;
+        let read = store
+            .get(ObjectKind::Leases, &self.era_name(LEASE_NAME))
+            .await;
+        if self.note_era(entry) {
+            return false;
+        }
+        match read {
             Ok(object) => {
                 self.revision = object.as_ref().map(|object| object.revision);
                 let lease = object.and_then(|object| match object.content {
@@ -171,9 +212,13 @@
         let sent = entry.clock.now();
         let value = serde_json::to_value(&lease).unwrap_or(Value::Null);
         let store = &entry.adapter.store;
+        let name = self.era_name(LEASE_NAME);
         let result = store
-            .write(ObjectKind::Leases, LEASE_NAME, self.revision, &value)
+            .write(ObjectKind::Leases, &name, self.revision, &value)
             .await;
+        if self.note_era(entry) {
+            return;
+        }
         match result {
             Ok(revision) => {
                 self.revision = Some(revision);
@@ -209,8 +254,9 @@
         entry.membership.set_lease(None);
         let value = serde_json::to_value(&lease).unwrap_or(Value::Null);
         let store = &entry.adapter.store;
+        let name = self.era_name(LEASE_NAME);
         match store
-            .write(ObjectKind::Leases, LEASE_NAME, self.revision, &value)
+            .write(ObjectKind::Leases, &name, self.revision, &value)
             .await
         {
             Ok(_) => {
--- a/src/entry/leader/usage_report.rs
+++ b/src/entry/leader/usage_report.rs
@@ -69,7 +69,11 @@
     }
 
     async fn read_claim(&mut self, entry: &Entry) -> bool {
-        match entry.adapter.store.get(ObjectKind::Usage, CLAIM_NAME).await {
+        let read = entry.adapter.store.get(ObjectKind::Usage, CLAIM_NAME).await;
+        if self.note_era(entry) {
+            return false;
+        }
+        match read {
             Ok(object) => {
                 let revision = object.as_ref().map(|object| object.revision);
                 let counts: Option<WindowCounts> = object.and_then(|object| match object.content {
@@ -95,10 +99,13 @@
         let revision = self.claim.as_ref().and_then(|claim| claim.revision);
         let value = serde_json::to_value(&counts).unwrap_or(Value::Null);
         let store = &entry.adapter.store;
-        match store
+        let written = store
             .write(ObjectKind::Usage, CLAIM_NAME, revision, &value)
-            .await
-        {
+            .await;
+        if self.note_era(entry) {
+            return false;
+        }
+        match written {
             Ok(revision) => {
                 record_claimed(entry, Some(&counts));
                 self.claim = Some(UsageClaim {
--- a/tests/decisions/lease.rs
+++ b/tests/decisions/lease.rs
@@ -293,3 +293,44 @@
         }
     }
 }
+
+/// Guards against a token that two nodes use, because the copy that the store returned from
+/// lacks it and nobody remembers it.
+#[test]
+fn a_token_is_not_given_out_again_if_nobody_remembers_it() {
+    let mut first = LeaderElector::new("a".into(), Fencing::Refused);
+    let copied = take(&mut first, time_at(0));
+    let mut second = LeaderElector::new("b".into(), Fencing::Refused);
+    second.record_read(Some(copied.clone().released()), time_at(1_000));
+    let Action::Write(lost) = second.next_action(true, time_at(1_000)) else {
+        panic!("the lease was not taken");
+    };
+    for copy in [None, Some(copied.released())] {
+        let mut third = LeaderElector::new("c".into(), Fencing::Refused);
+        third.record_era(1);
+        third.record_read(copy, time_at(2_000));
+        let Action::Write(next) = third.next_action(true, time_at(2_000)) else {
+            panic!("the lease was not taken");
+        };
+        assert!(next.fence > lost.fence, "{next:?} after {lost:?}");
+    }
+}
+
+/// Guards against a holder that waits for its own term after a restore, in which nobody does
+/// its duties.
+#[test]
+fn the_holder_takes_the_lease_of_a_new_era_at_once_and_others_wait() {
+    let mut holder = LeaderElector::new("a".into(), Fencing::Refused);
+    let lease = take(&mut holder, time_at(0));
+    let mut other = LeaderElector::new("b".into(), Fencing::Refused);
+    other.record_reported(lease, time_at(100));
+    for elector in [&mut holder, &mut other] {
+        elector.record_era(1);
+        assert!(!elector.is_held(time_at(1_000)));
+        assert!(elector.is_stale(time_at(1_000)));
+        elector.record_read(None, time_at(1_000));
+    }
+    assert_eq!(other.next_action(true, time_at(1_000)), Action::Wait);
+    let next = holder.next_action(true, time_at(1_000));
+    assert!(matches!(next, Action::Write(_)), "{next:?}");
+}
