--- a/src/core/lease/mod.rs
+++ b/src/core/lease/mod.rs
@@ -132,6 +132,8 @@
     era: u64,
     /// Whether the lease was not read yet in this era.
     must_read: bool,
+    /// Time until which no other node can acquire the lease that this node acquired.
+    sole_until: Option<Time>,
 }
 
 impl LeaderElector {
@@ -149,6 +151,7 @@
             highest_fence: 0,
             era: 0,
             must_read: false,
+            sole_until: None,
         }
     }
 
@@ -173,6 +176,7 @@
         self.highest_fence = self.highest_fence.max(lease.fence);
         if lease.holder != self.node {
             self.held_until = None;
+            self.sole_until = None;
         }
         let is_same = self
             .observed
@@ -201,6 +205,7 @@
             self.lead_from = sent + self.timings.safety_margin + self.timings.order_timeout;
         }
         self.held_until = Some(sent + (self.timings.term - self.timings.safety_margin));
+        self.sole_until = Some(sent + (self.timings.term - self.timings.safety_margin / 2));
         self.observed = Some(Observed {
             lease,
             changed_at: sent,
@@ -209,10 +214,15 @@
 
     /// Records that the store is in a later era, in which no lease was read yet, and that
     /// this node no longer holds the lease of the ended one.
-    pub fn record_era(&mut self, era: u64) {
+    ///
+    /// Returns whether only this node can have held the lease until now, since it last
+    /// acquired it.
+    pub fn record_era(&mut self, era: u64, now: Time) -> bool {
         self.era = era;
         self.must_read = true;
         self.invalidate();
+        let is_before = |until| now < until;
+        self.sole_until.take().is_some_and(is_before)
     }
 
     /// Records that a write failed or has an unknown outcome, so that the lease
@@ -355,6 +365,7 @@
     /// it.
     pub fn release(&mut self) -> Option<Lease> {
         self.held_until.take()?;
+        self.sole_until = None;
         self.observed
             .as_ref()
             .map(|observed| observed.lease.clone().released())
--- a/src/core/usage.rs
+++ b/src/core/usage/mod.rs
@@ -9,6 +9,8 @@
 use crate::core::name_map::NameMap;
 use crate::core::time::Time;
 
+pub mod claims;
+
 /// Number of windows that a node keeps and publishes.
 const MAX_WINDOWS: usize = 3;
 
--- a/src/entry/leader/mod.rs
+++ b/src/entry/leader/mod.rs
@@ -18,6 +18,7 @@
 use crate::core::name_map::NameMap;
 use crate::core::peer::Phase;
 use crate::core::time::Time;
+use crate::core::usage::claims::ClaimHistory;
 use crate::entry::Entry;
 use crate::entry::adapter::CloudReply;
 use crate::entry::adapter::Content;
@@ -66,6 +67,7 @@
     /// The last lease write that failed or got no response, and when it was sent.
     pending: Option<(Lease, Time)>,
     claim: Option<UsageClaim>,
+    claim_history: ClaimHistory,
     /// Era of the store in which the lease and the claim are kept.
     era: u64,
     autoscalers: NameMap<Autoscaler>,
@@ -91,6 +93,7 @@
         revision: None,
         pending: None,
         claim: None,
+        claim_history: ClaimHistory::new(),
         era: 0,
         autoscalers: NameMap::new(),
         cleaned_at: entry.clock.now(),
@@ -151,11 +154,15 @@
         if era == self.era {
             return false;
         }
-        self.lease_state.record_era(era);
+        // Another node may have held the lease in an era that this one has not seen.
+        let is_next = era == self.era + 1;
+        let is_sole = self.lease_state.record_era(era, entry.clock.now()) && is_next;
+        self.claim_history.record_era(is_sole);
         entry.events.write(
             Event::new("store_era_began")
                 .with("era", era)
-                .with("era_before", self.era),
+                .with("era_before", self.era)
+                .with("claims_known", is_sole),
         );
         self.era = era;
         self.revision = None;
@@ -225,6 +232,7 @@
                 self.lease_state.record_written(lease.clone(), sent);
                 if !was_held {
                     self.claim = None;
+                    self.claim_history.record_taken();
                     self.autoscalers = NameMap::new();
                     entry.events.write(
                         Event::new("lease_taken")
--- a/src/entry/leader/usage_report.rs
+++ b/src/entry/leader/usage_report.rs
@@ -5,7 +5,10 @@
 
 use serde_json::Value;
 
+use crate::core::name_map::NameMap;
 use crate::core::usage::WindowCounts;
+use crate::core::usage::claims::Next;
+use crate::core::usage::claims::Record;
 use crate::entry::Entry;
 use crate::entry::adapter::CloudReply;
 use crate::entry::adapter::Content;
@@ -25,6 +28,19 @@
     is_sent: bool,
 }
 
+impl UsageClaim {
+    /// Creates a claim that this node has not reported.
+    ///
+    /// A claim without counts closes windows, so that there is nothing to report.
+    fn new(revision: Option<u64>, counts: Option<WindowCounts>) -> Self {
+        Self {
+            is_sent: counts.as_ref().is_some_and(WindowCounts::is_empty),
+            revision,
+            counts,
+        }
+    }
+}
+
 impl Leadership {
     /// Reports the usage of the next window that has ended.
     ///
@@ -36,8 +52,12 @@
         }
         let Some(claim) = &self.claim else { return };
         let stored = claim.counts.as_ref().map(|counts| counts.window);
-        let reported = stored.max(entry.usage.claimed());
-        // A claim that is older than the known one is from an older copy of the store.
+        let record = stored.map_or(Record::Missing, Record::Window);
+        let ended = entry.usage.newest_ended(entry.cluster_time());
+        let reported = match self.claim_history.next(record, ended) {
+            Next::After(window) => window.max(entry.usage.claimed()),
+            Next::Close(window) => return self.close_windows(entry, window).await,
+        };
         if claim.is_sent || stored.is_none() || stored < reported {
             let Some(counts) = entry.usage.due(entry, reported) else {
                 return;
@@ -68,8 +88,23 @@
         }
     }
 
+    /// Claims the windows up to `window` without reporting them.
+    async fn close_windows(&mut self, entry: &Entry, window: u64) {
+        let counts = WindowCounts {
+            window,
+            requests: NameMap::new(),
+        };
+        if self.write_claim(entry, counts).await {
+            let event = Event::new("usage_windows_closed").with("window", window);
+            entry.events.write(event.with("era", self.era));
+        }
+    }
+
     async fn read_claim(&mut self, entry: &Entry) -> bool {
-        let read = entry.adapter.store.get(ObjectKind::Usage, CLAIM_NAME).await;
+        let store = &entry.adapter.store;
+        let read = store
+            .get(ObjectKind::Usage, &self.era_name(CLAIM_NAME))
+            .await;
         if self.note_era(entry) {
             return false;
         }
@@ -80,12 +115,10 @@
                     Content::Record(value) => serde_json::from_value(value).ok(),
                     _ => None,
                 });
-                record_claimed(entry, counts.as_ref());
-                self.claim = Some(UsageClaim {
-                    revision,
-                    counts,
-                    is_sent: false,
-                });
+                if let Some(counts) = &counts {
+                    self.record_claimed(entry, counts.window);
+                }
+                self.claim = Some(UsageClaim::new(revision, counts));
                 true
             }
             Err(e) => {
@@ -99,20 +132,17 @@
         let revision = self.claim.as_ref().and_then(|claim| claim.revision);
         let value = serde_json::to_value(&counts).unwrap_or(Value::Null);
         let store = &entry.adapter.store;
+        let name = self.era_name(CLAIM_NAME);
         let written = store
-            .write(ObjectKind::Usage, CLAIM_NAME, revision, &value)
+            .write(ObjectKind::Usage, &name, revision, &value)
             .await;
         if self.note_era(entry) {
             return false;
         }
         match written {
             Ok(revision) => {
-                record_claimed(entry, Some(&counts));
-                self.claim = Some(UsageClaim {
-                    revision: Some(revision),
-                    counts: Some(counts),
-                    is_sent: false,
-                });
+                self.record_claimed(entry, counts.window);
+                self.claim = Some(UsageClaim::new(Some(revision), Some(counts)));
                 true
             }
             Err(e) => {
@@ -123,13 +153,10 @@
             }
         }
     }
-}
 
-/// Remembers the window of a claim, which the other entries are told.
-fn record_claimed(entry: &Entry, counts: Option<&WindowCounts>) {
-    if let Some(counts) = counts {
-        entry
-            .usage
-            .record_claimed(counts.window, entry.cluster_time());
+    /// Remembers the window of a claim, which the other entries are told.
+    fn record_claimed(&mut self, entry: &Entry, window: u64) {
+        self.claim_history.record_claim(window);
+        entry.usage.record_claimed(window, entry.cluster_time());
     }
 }
--- a/src/entry/usage.rs
+++ b/src/entry/usage.rs
@@ -46,6 +46,12 @@
         }
     }
 
+    /// Returns the newest window that has ended at `time`.
+    pub fn newest_ended(&self, time: Time) -> u64 {
+        let meter = self.meter.lock().unwrap();
+        meter.window_at(time).saturating_sub(1)
+    }
+
     /// Counts a request that started at `time`.
     pub fn record(&self, workspace: &Name, time: Time) {
         self.meter.lock().unwrap().record(workspace, time);
--- a/tests/decisions/lease.rs
+++ b/tests/decisions/lease.rs
@@ -307,7 +307,7 @@
     };
     for copy in [None, Some(copied.released())] {
         let mut third = LeaderElector::new("c".into(), Fencing::Refused);
-        third.record_era(1);
+        third.record_era(1, time_at(2_000));
         third.record_read(copy, time_at(2_000));
         let Action::Write(next) = third.next_action(true, time_at(2_000)) else {
             panic!("the lease was not taken");
@@ -325,7 +325,7 @@
     let mut other = LeaderElector::new("b".into(), Fencing::Refused);
     other.record_reported(lease, time_at(100));
     for elector in [&mut holder, &mut other] {
-        elector.record_era(1);
+        elector.record_era(1, time_at(1_000));
         assert!(!elector.is_held(time_at(1_000)));
         assert!(elector.is_stale(time_at(1_000)));
         elector.record_read(None, time_at(1_000));
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -6,6 +6,7 @@
 mod closure;
 mod completion;
 mod config;
+mod drills;
 mod evacuation;
 mod exposure;
 mod fixtures;
