--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -6,7 +6,6 @@
 
 use http::Request;
 use http::StatusCode;
-use http_body_util::BodyExt;
 use http_body_util::Full;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
@@ -24,6 +23,7 @@
 use crate::node::peers::VmDelta;
 use crate::node::platform_api::Unavailable;
 use crate::node::platform_api::client;
+use crate::web;
 
 /// Interval between two reads of the list by a relay.
 const LIST_INTERVAL: Duration = Duration::from_millis(500);
@@ -229,9 +229,9 @@
     if response.status() != StatusCode::OK {
         return None;
     }
-    let body = http_body_util::Limited::new(response.into_body(), MAX_ANSWER_BYTES);
-    let content = tokio::time::timeout(POLL_TIMEOUT, body.collect()).await;
-    let content = content.ok()?.ok()?.to_bytes();
+    let reading = web::read(response.into_body(), MAX_ANSWER_BYTES);
+    let content = tokio::time::timeout(POLL_TIMEOUT, reading).await;
+    let content = content.ok()?.ok()?;
     serde_json::from_slice(&content).ok()
 }
 
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -9,11 +9,10 @@
 use http::Request;
 use http::StatusCode;
 use http::header;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 
 use crate::entry::adapter::StoreError;
+use crate::web;
 use crate::web::pool::Connection;
 use crate::web::pool::Pool;
 use crate::web::pool::SendError;
@@ -174,13 +173,12 @@
     })?;
     let status = response.status();
     let headers = response.headers().clone();
-    let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES)
-        .collect()
+    let body = web::read(response.into_body(), MAX_RESPONSE_BYTES)
         .await
-        .map_err(|e| StoreError::Lost(format!("body: {e}")))?;
+        .map_err(|e| StoreError::Lost(format!("body: {e:?}")))?;
     Ok(ApiResponse {
         status,
         headers,
-        body: body.to_bytes(),
+        body,
     })
 }
--- a/src/web/mod.rs
+++ b/src/web/mod.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use futures_util::FutureExt;
 use futures_util::stream;
 use http::Request;
@@ -15,8 +16,8 @@
 use http::header;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use http_body_util::StreamBody;
+use hyper::body::Body as HttpBody;
 use hyper::body::Frame;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -137,12 +138,24 @@
 /// # Errors
 ///
 /// Returns [`ReadError`] if the body is too large or incomplete.
-pub async fn read(body: Incoming, limit: usize) -> Result<Bytes, ReadError> {
-    match Limited::new(body, limit).collect().await {
-        Ok(content) => Ok(content.to_bytes()),
-        Err(e) if e.is::<http_body_util::LengthLimitError>() => Err(ReadError::TooLarge),
-        Err(_) => Err(ReadError::Cut),
+pub async fn read(mut body: Incoming, limit: usize) -> Result<Bytes, ReadError> {
+    let mut content = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_| ReadError::Cut)?.into_data() else {
+            // Trailers are not used.
+            continue;
+        };
+        if content.len() + data.len() > limit {
+            return Err(ReadError::TooLarge);
+        }
+        if content.is_empty() && body.is_end_stream() {
+            return Ok(data);
+        }
+        // A part keeps the whole buffer that it was read into, so that many small parts
+        // would hold many times their length.
+        content.extend_from_slice(&data);
     }
+    Ok(content.freeze())
 }
 
 /// Reads and drops a body until it ends, `limit` bytes have arrived or nothing has
