--- a/src/core/retry/mod.rs
+++ b/src/core/retry/mod.rs
@@ -40,6 +40,8 @@
     Leaving,
     /// The server accepts no more requests since it was chosen.
     Closed,
+    /// The response was still arriving at the deadline.
+    Overdue,
 }
 
 impl Cause {
@@ -56,6 +58,7 @@
             Cause::Garbled => "garbled",
             Cause::Leaving => "leaving",
             Cause::Closed => "closed",
+            Cause::Overdue => "overdue",
         }
     }
 
@@ -73,8 +76,10 @@
     }
 
     /// Returns whether the failure counts against the server.
+    ///
+    /// A response may be overdue because the caller reads slowly.
     pub const fn is_server_fault(self) -> bool {
-        !matches!(self, Cause::Busy | Cause::Closed)
+        !matches!(self, Cause::Busy | Cause::Closed | Cause::Overdue)
     }
 
     /// Returns whether the failure counts against the version of the server.
--- a/src/entry/call/forward.rs
+++ b/src/entry/call/forward.rs
@@ -267,6 +267,11 @@
         }
         let limit = stall_limit(&self.call, self.has_data);
         let left = self.call.time_left();
+        // A timeout does not end while each frame is there when it is asked for. Other
+        // answers have a length, and their callers may read them slowly.
+        if left.is_zero() && self.call.route.kind.is_stream() {
+            return Err(Cause::Overdue);
+        }
         match tokio::time::timeout(limit.min(left), upstream.body.frame()).await {
             Ok(frame) => return Ok(Some(frame)),
             Err(_) if left <= limit => return Err(Cause::Silent),
--- a/tests/entry/endless.rs
+++ b/tests/entry/endless.rs
@@ -168,3 +168,23 @@
     let status = play(&endless, "GET", "/draft/1", ENDLESS).await;
     assert_eq!(status, 200, "the answer had begun");
 }
+
+/// Guards against a stream that outlasts its deadline, because its server always has more to
+/// send than a slow caller has read.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_that_never_pauses_is_cut_at_its_deadline() {
+    let start = format!("{SIGNED}content-type: text/event-stream\r\n\r\n");
+    let (address, _sent) = serve(Endless::new("stream", &start, b"data: aaaa\n\n")).await;
+    let harness = Harness::with_backend(address).await;
+    let mut stream = TcpStream::connect(harness.front).await.unwrap();
+    let request = "POST /draft/1 HTTP/1.1\r\nhost: shop\r\nx-cassialock-request-id: q-1\r\n\
+                   x-cassialock-deadline-ms: 8000\r\nauthorization: Token k-1\r\n\
+                   content-length: 0\r\n\r\n";
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let began = Instant::now();
+    let mut bytes = [0; 16 * 1024];
+    while began.elapsed() < ANSWER_TIMEOUT && stream.read(&mut bytes).await.unwrap_or(0) > 0 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    assert!(began.elapsed() < ANSWER_TIMEOUT, "the stream goes on");
+}
