--- a/src/entry/call/forward.rs
+++ b/src/entry/call/forward.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use futures_util::stream::unfold;
 use http::Response;
+use http::header;
 use http::response;
 use http_body_util::BodyExt;
 use http_body_util::StreamBody;
@@ -466,6 +467,10 @@
         let mut head = forwarder.head.clone();
         let entry = &forwarder.call.entry;
         entry.adapter.dialect.strip_response(&mut head.headers);
+        if forwarder.call.is_resumable() {
+            // Another server may go on with a run of another length.
+            head.headers.remove(header::CONTENT_LENGTH);
+        }
         let guard = entry.open_requests.guard();
         let frames = unfold(
             (Some(forwarder), data, guard),
--- a/tests/entry/continued.rs
+++ b/tests/entry/continued.rs
@@ -46,6 +46,8 @@
     Cut,
     /// It sends nothing more.
     Silence,
+    /// Its connection ends, and its head states the length of the whole stream.
+    CutAtLength,
 }
 
 /// What a server answers when a stream is to go on after its second event.
@@ -177,17 +179,22 @@
     let address = stream.local_addr().ok()?;
     script.reached.lock().unwrap().insert(address);
     if at == 0 {
-        let mut bytes = head(
-            "200 OK",
-            &format!("{STREAM}\r\ntransfer-encoding: chunked\r\n"),
-        );
+        let length: usize = (1..=LAST_EVENT).map(|id| event(id).len()).sum();
+        let framing = match script.broken {
+            Break::CutAtLength => format!("content-length: {length}"),
+            Break::Cut | Break::Silence => "transfer-encoding: chunked".into(),
+        };
+        let mut bytes = head("200 OK", &format!("{STREAM}\r\n{framing}\r\n"));
         for id in 1..=2 {
             let event = event(id);
-            bytes += &format!("{:x}\r\n{event}\r\n", event.len());
+            bytes += &match script.broken {
+                Break::CutAtLength => event,
+                Break::Cut | Break::Silence => format!("{:x}\r\n{event}\r\n", event.len()),
+            };
         }
         stream.write_all(bytes.as_bytes()).await.ok()?;
         let pause = match script.broken {
-            Break::Cut => LINGER,
+            Break::Cut | Break::CutAtLength => LINGER,
             Break::Silence => FOREVER,
         };
         tokio::time::sleep(pause).await;
@@ -261,6 +268,18 @@
     (ids, answer.ends_with("\r\n0\r\n\r\n"))
 }
 
+/// Guards against a last event that is missing, because the length of the first server's
+/// stream was kept for the longer one of its successor.
+#[tokio::test]
+async fn a_longer_run_that_goes_on_is_not_cut_at_the_length_of_the_first() {
+    let events: String = (3..=LAST_EVENT)
+        .map(|id| format!("x-cassialock-weight-versions:2\n{}", event(id)))
+        .collect();
+    let longer = whole("longer", "200 OK", STREAM, &events);
+    let played = play(Break::CutAtLength, "/follow-long/x", vec![longer]).await;
+    assert_eq!(played, ((1..=LAST_EVENT).collect(), true));
+}
+
 /// Checks that the stream goes on at a third server after an answer that does not
 /// continue it.
 async fn assert_goes_on(broken: Break) {
