Start a task again that panics, and allow a service no servers

Orders, usage reports and reports of moves ended for good, on one node after the other, where a configuration allows a service no server (min and max 0).

Cause: `clamp` panics if its lower bound, 1 at least, is above the upper one; the task of the lease holder ended with it and the next holder's too.

Evidence: `scaling::orders_keep_to_any_bounds_without_a_panic` fails on at that line and passes now; `supervised::a_task_that_panics_is_started_again` covers the second half.

The upper bound wins. A task that panics is counted, logged and started again after a pause; the lease that it held is not renewed and passes on.

--- a/src/core/fleet/scaling.rs
+++ b/src/core/fleet/scaling.rs
@@ -182,7 +182,8 @@
         } else {
             needed.div_ceil(by_domain.len().max(1) as u32)
         };
-        let target = target.clamp(scale.min.max(1), scale.max);
+        // An operator may allow no servers at all.
+        let target = target.max(scale.min).max(1).min(scale.max);
         let on_demand = if has_reclaimable {
             let is_lost = self
                 .domains
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -9,12 +9,15 @@
 //! - [`leader`] makes the calls that are reserved for the lease holder.
 //! - [`adapter`] declares the traits that a platform adapter implements.
 
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::OnceLock;
 use std::sync::atomic::AtomicUsize;
 use std::time::Duration;
 
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -76,6 +79,9 @@
 /// cache the directory response that named it.
 const ACCEPT_LINGER: Duration = Duration::from_millis(1_500);
 
+/// Pause before a task that has panicked is started anew.
+const RESTART_PAUSE: Duration = Duration::from_secs(1);
+
 /// Holds the state of an entry, shared by its tasks.
 pub struct Entry {
     /// The settings in force.
@@ -225,18 +231,24 @@
     ];
     // Whether the other feeds have a relay depends on the number of entries.
     feeds::nodes::wait_listed(&entry).await;
+    let spawn = |name, task: fn(Arc<Entry>) -> BoxFuture<'static, ()>| {
+        tokio::spawn(supervise(Arc::clone(&entry), name, task))
+    };
     tasks.extend([
-        tokio::spawn(feeds::catalog::follow(Arc::clone(&entry))),
-        tokio::spawn(feeds::backends::follow(Arc::clone(&entry))),
-        tokio::spawn(feeds::moves::follow(Arc::clone(&entry))),
-        tokio::spawn(feeds::quarantine::follow(Arc::clone(&entry))),
-        tokio::spawn(quarantine::run(Arc::clone(&entry))),
-        tokio::spawn(leader::run(Arc::clone(&entry))),
-        tokio::spawn(tick(Arc::clone(&entry))),
+        spawn("catalog", |entry| feeds::catalog::follow(entry).boxed()),
+        spawn("backends", |entry| feeds::backends::follow(entry).boxed()),
+        spawn("moves", |entry| feeds::moves::follow(entry).boxed()),
+        spawn("quarantine", |entry| {
+            feeds::quarantine::follow(entry).boxed()
+        }),
+        spawn("blocks", |entry| quarantine::run(entry).boxed()),
+        spawn("leader", |entry| leader::run(entry).boxed()),
+        spawn("tick", |entry| tick(entry).boxed()),
     ]);
     if settings.bounds.has_evacuations {
-        let following = feeds::evacuations::follow(Arc::clone(&entry));
-        tasks.push(tokio::spawn(following));
+        tasks.push(spawn("evacuations", |entry| {
+            feeds::evacuations::follow(entry).boxed()
+        }));
     }
     entry.events.write(
         Event::new("started")
@@ -254,6 +266,23 @@
     Ok(())
 }
 
+/// Runs a task, and starts it anew with a pause if it panics.
+pub async fn supervise(
+    entry: Arc<Entry>,
+    name: &'static str,
+    task: impl Fn(Arc<Entry>) -> BoxFuture<'static, ()>,
+) {
+    // A task that has panicked is dropped, and all that it leaves behind is shared state
+    // that is behind locks.
+    let run = || AssertUnwindSafe(task(Arc::clone(&entry))).catch_unwind();
+    while run().await.is_err() {
+        metrics::counter!("cassialock_task_panics_total", "task" => name).increment(1);
+        let event = Event::new("task_restarted").with("task", name);
+        entry.events.write(event.with_ms("pause_ms", RESTART_PAUSE));
+        tokio::time::sleep(RESTART_PAUSE).await;
+    }
+}
+
 /// Waits for open requests to finish while callers are directed to other entries.
 ///
 /// `serving` is the task that serves them.
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -25,6 +25,7 @@
 mod scripted;
 mod silent;
 mod stopping;
+mod supervised;
 mod turned_away;
 mod unframed;
 mod versions;
