--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -7,6 +7,7 @@
 mod connections;
 mod continued;
 mod crashing;
+mod drills;
 mod endless;
 mod evacuated;
 mod fakes;
