--- a/src/web/mod.rs
+++ b/src/web/mod.rs
@@ -45,9 +45,6 @@
 /// Body type of every response.
 pub type Body = http_body_util::combinators::UnsyncBoxBody<Bytes, io::Error>;
 
-/// Maximum number of unsent bytes that the operating system queues for a connection.
-const MAX_UNSENT_BYTES: u32 = 32 * 1024;
-
 /// Default timeout for receiving the head of a request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -299,8 +296,6 @@
     let _ = socket.set_nodelay(true);
     // Without keepalive, an unresponsive peer only holds the connection for longer.
     let _ = pool::set_keepalive(&socket);
-    // What is queued for a slow reader arrives after the end of a response that is cut off.
-    let _ = socket2::SockRef::from(&socket).set_tcp_notsent_lowat(MAX_UNSENT_BYTES);
     let service = service_fn(move |request| {
         let response = handler(request, peer);
         async move {
