Keep when the store answered apart from held removals, and simplify

- The removal filter of the servers owned when the store last answered, and the feeds asked `Backends` for it.
`core::store_contact` owns that now; the filter holds removals alone.
- Three places recorded an answer of the store by hand; `answered` does.
- The feeds of registrations and of the quarantine decoded their records alike; `feeds::decode_record` does.
- Every task was wrapped in a boxed closure, panics were counted by a second counter beside `cassialock_panics_total`, and two tasks were left out.
`entry::spawn` takes the tasks as they are, datagrams and registrations too.

No decision changes.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -25,6 +25,7 @@
 pub mod retry;
 pub mod route;
 pub mod sse;
+pub mod store_contact;
 pub mod time;
 pub mod usage;
 pub mod verdict;
--- a/src/entry/backends/mod.rs
+++ b/src/entry/backends/mod.rs
@@ -153,27 +153,9 @@
         events
     }
 
-    /// Records a failed call to the store, of any kind of objects.
-    ///
-    /// `serves_others` says whether the store still answers other entries.
-    pub fn record_store_failure(&self, serves_others: bool, now: Time) {
-        let mut state = self.state.lock().unwrap();
-        state.removal_filter.record_failure(serves_others, now);
-    }
-
-    /// Records a response of the store, to a call of this entry or of its relay, which
-    /// was sent at `sent` or later; `era` is the era of the store, if it is known.
-    pub fn record_store_answer(&self, era: Option<u64>, sent: Time, now: Time) {
-        let mut state = self.state.lock().unwrap();
-        state.removal_filter.record_answer(sent, now);
-        if let Some(era) = era {
-            state.removal_filter.record_era(era, now);
-        }
-    }
-
-    /// Returns the time of the last response of the store to any call.
-    pub fn last_store_answer(&self) -> Option<Time> {
-        self.state.lock().unwrap().removal_filter.last_answer()
+    /// Records that the store has returned and may lack entries of live servers.
+    pub fn record_store_return(&self, now: Time) {
+        self.state.lock().unwrap().removal_filter.record_return(now);
     }
 
     /// Chooses a server, and counts the request against its rate limit.
--- a/src/entry/feeds/mod.rs
+++ b/src/entry/feeds/mod.rs
@@ -7,12 +7,14 @@
 use std::time::Duration;
 
 use futures_util::future::BoxFuture;
+use serde::de::DeserializeOwned;
 
 use crate::core::Name;
 use crate::core::time::Time;
 use crate::entry::Entry;
 use crate::entry::adapter::Change;
 use crate::entry::adapter::Consistency;
+use crate::entry::adapter::Content;
 use crate::entry::adapter::Object;
 use crate::entry::adapter::ObjectKind;
 use crate::entry::adapter::StoreError;
@@ -242,10 +244,7 @@
             // A call that was sent before the outage may never be answered.
             _ = recoveries.changed() => return Ok(SyncOutcome::Abandoned),
         };
-        if watched.is_ok() {
-            record_answer(entry);
-        }
-        match watched {
+        match answered(entry, watched) {
             Ok(WatchResult::Changes(revision, changes)) => {
                 let is_empty = changes.is_empty();
                 feed.apply(entry, revision, changes);
@@ -284,8 +283,8 @@
         let is_cached = !self.is_expired && feed.accepts_cached(entry);
         if is_cached {
             let store = &entry.adapter.store;
-            let listing = store.list(feed.kind(), Consistency::Cached).await?;
-            record_answer(entry);
+            let listed = store.list(feed.kind(), Consistency::Cached).await;
+            let listing = answered(entry, listed)?;
             feed.replace(entry, listing.revision, listing.objects);
             feed.write_back(entry).await?;
             self.revision = Some(listing.revision);
@@ -296,8 +295,8 @@
             }
         }
         let store = &entry.adapter.store;
-        let listing = store.list(feed.kind(), Consistency::Current).await?;
-        record_answer(entry);
+        let listed = store.list(feed.kind(), Consistency::Current).await;
+        let listing = answered(entry, listed)?;
         feed.replace(entry, listing.revision, listing.objects);
         feed.write_back(entry).await?;
         feed.confirm(entry, sent);
@@ -314,8 +313,8 @@
     /// answers other calls is not away, so these do not wait for a notification.
     async fn wait_retry(&self, entry: &Entry) {
         let is_first = self.backoff == INITIAL_BACKOFF;
-        if self.is_prober {
-            let longest = if entry.relay.has_relay() && !is_first {
+        if self.is_prober || is_first || self.is_answered_elsewhere(entry) {
+            let longest = if self.is_prober && !is_first && entry.relay.has_relay() {
                 RELAYED_BACKOFF
             } else {
                 self.backoff
@@ -323,10 +322,6 @@
             tokio::time::sleep(longest / 2 + entry.jitter(longest / 2)).await;
             return;
         }
-        if is_first || self.is_answered_elsewhere(entry) {
-            tokio::time::sleep(self.backoff / 2 + entry.jitter(self.backoff / 2)).await;
-            return;
-        }
         let mut recoveries = entry.store_recoveries.subscribe();
         let wait = NOTIFIED_BACKOFF / 2 + entry.jitter(NOTIFIED_BACKOFF / 2);
         // The call is retried both after the timeout and after a notification.
@@ -336,21 +331,23 @@
     /// Returns whether the store has answered a call of another feed since this one
     /// lost it.
     fn is_answered_elsewhere(&self, entry: &Entry) -> bool {
-        entry.backends.last_store_answer() > self.lost_at
+        entry.store_contact.lock().unwrap().last_answer() > self.lost_at
     }
 
     fn record_failure(&mut self, entry: &Entry, e: &StoreError) {
         let name = self.name;
         metrics::counter!("cassialock_store_failures_total", "call" => name).increment(1);
         let now = entry.clock.now();
+        let serves_others = entry.membership.has_ready_peer(now);
+        let mut contact = entry.store_contact.lock().unwrap();
+        let last_answer = contact.last_answer();
         // The end of one connection does not show that the store is away.
         if self.lost_at.is_some() || *e != StoreError::Cut {
-            let serves_others = entry.membership.has_ready_peer(now);
-            entry.backends.record_store_failure(serves_others, now);
+            contact.record_failure(serves_others, now);
         }
+        drop(contact);
         if self.lost_at.is_none() {
             self.lost_at = Some(now);
-            let last_answer = entry.backends.last_store_answer();
             let event = Event::new("store_lost").with("feed", name);
             let event = event.with_ms("silence_ms", now.since(last_answer.unwrap_or(now)));
             entry.events.write(event.with("reason", e.to_string()));
@@ -380,11 +377,30 @@
     }
 }
 
-/// Records that the store has answered a call.
-fn record_answer(entry: &Entry) {
-    let now = entry.clock.now();
-    let era = entry.adapter.store.era();
-    entry.backends.record_store_answer(Some(era), now, now);
+/// Records that the store has answered a call, if it has.
+fn answered<T>(entry: &Entry, result: Result<T, StoreError>) -> Result<T, StoreError> {
+    if result.is_ok() {
+        let era = entry.adapter.store.era();
+        entry.record_store_answer(Some(era), entry.clock.now());
+    }
+    result
+}
+
+/// Decodes an object that this program has written; one that cannot be decoded is recorded.
+fn decode_record<T: DeserializeOwned>(
+    entry: &Entry,
+    kind: ObjectKind,
+    name: &str,
+    content: Content,
+) -> Option<T> {
+    let decoded = match content {
+        Content::Record(value) => serde_json::from_value(value).map_err(|e| e.to_string()),
+        Content::Unreadable(reason) => Err(reason),
+        Content::Catalog(_) | Content::Backend(_) | Content::Move(_) => return None,
+    };
+    decoded
+        .inspect_err(|reason| record_unreadable(entry, kind, name, reason))
+        .ok()
 }
 
 /// Records an object that cannot be decoded; other objects are not affected.
--- a/src/entry/feeds/nodes.rs
+++ b/src/entry/feeds/nodes.rs
@@ -9,7 +9,6 @@
 
 use crate::entry::Entry;
 use crate::entry::adapter::Change;
-use crate::entry::adapter::Content;
 use crate::entry::adapter::Object;
 use crate::entry::adapter::ObjectKind;
 use crate::entry::adapter::StoreError;
@@ -53,29 +52,17 @@
 impl NodesFeed {
     fn apply_object(&mut self, entry: &Entry, object: Object) -> Option<u64> {
         let now = entry.clock.now();
-        let value = match object.content {
-            Content::Record(value) => value,
-            Content::Unreadable(reason) => {
-                feeds::record_unreadable(entry, ObjectKind::Nodes, &object.name, &reason);
-                return None;
-            }
-            Content::Catalog(_) | Content::Backend(_) | Content::Move(_) => return None,
-        };
-        match serde_json::from_value::<Registration>(value) {
-            Ok(registration) => {
-                let is_own =
-                    *object.name == *entry.settings.load().node && registration == self.own;
-                let registered = Some((registration, object.revision));
-                entry
-                    .membership
-                    .set_registration(&object.name, registered, now);
-                is_own.then_some(object.revision)
-            }
-            Err(e) => {
-                feeds::record_unreadable(entry, ObjectKind::Nodes, &object.name, &e.to_string());
-                None
-            }
-        }
+        let Object {
+            name,
+            revision,
+            content,
+        } = object;
+        let registration: Registration =
+            feeds::decode_record(entry, ObjectKind::Nodes, &name, content)?;
+        let is_own = *name == *entry.settings.load().node && registration == self.own;
+        let registered = Some((registration, revision));
+        entry.membership.set_registration(&name, registered, now);
+        is_own.then_some(revision)
     }
 
     /// Writes the registration of this entry, replacing the object of revision
--- a/src/entry/feeds/quarantine.rs
+++ b/src/entry/feeds/quarantine.rs
@@ -8,7 +8,6 @@
 use crate::core::quarantine::bulletin::Block;
 use crate::entry::Entry;
 use crate::entry::adapter::Change;
-use crate::entry::adapter::Content;
 use crate::entry::adapter::Object;
 use crate::entry::adapter::ObjectKind;
 use crate::entry::feeds;
@@ -18,24 +17,15 @@
 struct QuarantineFeed;
 
 fn add(entry: &Entry, object: Object) {
-    let value = match object.content {
-        Content::Record(value) => value,
-        Content::Unreadable(reason) => {
-            let kind = ObjectKind::Quarantine;
-            return feeds::record_unreadable(entry, kind, &object.name, &reason);
-        }
-        Content::Catalog(_) | Content::Backend(_) | Content::Move(_) => return,
-    };
-    match serde_json::from_value::<Block>(value) {
-        Ok(block) => {
-            let now = entry.cluster_time();
-            let crashes = &entry.crashes;
-            crashes.add_stored(object.name, object.revision, block, now);
-        }
-        Err(e) => {
-            let kind = ObjectKind::Quarantine;
-            feeds::record_unreadable(entry, kind, &object.name, &e.to_string());
-        }
+    let Object {
+        name,
+        revision,
+        content,
+    } = object;
+    let block: Option<Block> = feeds::decode_record(entry, ObjectKind::Quarantine, &name, content);
+    if let Some(block) = block {
+        let now = entry.cluster_time();
+        entry.crashes.add_stored(name, revision, block, now);
     }
 }
 
--- a/src/entry/membership/datagrams.rs
+++ b/src/entry/membership/datagrams.rs
@@ -69,7 +69,7 @@
 }
 
 /// Sends and receives datagrams until the entry stops.
-pub async fn run(entry: Arc<Entry>, socket: UdpSocket) {
+pub async fn run(entry: Arc<Entry>, socket: Arc<UdpSocket>) {
     let every = |span| {
         let mut step = tokio::time::interval(span);
         step.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -17,7 +17,6 @@
 use std::time::Duration;
 
 use futures_util::FutureExt;
-use futures_util::future::BoxFuture;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -26,6 +25,7 @@
 
 use crate::clock::Clock;
 use crate::core::Name;
+use crate::core::store_contact::StoreContact;
 use crate::core::time::Time;
 use crate::entry::adapter::Adapter;
 use crate::entry::adapter::DeclaredMove;
@@ -116,6 +116,8 @@
     pub open_requests: InFlight,
     /// Memory reserved for open requests, in bytes.
     pub reserved_bytes: AtomicUsize,
+    /// When the store last answered any call.
+    pub store_contact: Mutex<StoreContact>,
     /// Number of times the store became reachable again after an outage.
     pub store_recoveries: watch::Sender<u64>,
     /// Objects of the store that could not be decoded and were logged, sorted.
@@ -149,6 +151,7 @@
             pool: Pool::new(),
             open_requests: InFlight::new(),
             reserved_bytes: AtomicUsize::new(0),
+            store_contact: Mutex::new(StoreContact::new()),
             store_recoveries: watch::channel(0).0,
             unreadable: Mutex::new(Vec::new()),
             leaving: watch::channel(false).0,
@@ -192,6 +195,16 @@
         )
     }
 
+    /// Records an answer of the store, to a call of this entry or of its relay, which was
+    /// sent at `sent` or later in the era `era`, if that is known.
+    pub fn record_store_answer(&self, era: Option<u64>, sent: Time) {
+        let now = self.clock.now();
+        let mut contact = self.store_contact.lock().unwrap();
+        if contact.record_answer(era, sent, now) {
+            self.backends.record_store_return(now);
+        }
+    }
+
     /// Applies the version moves declared in the store as of `revision`, unless
     /// newer ones are known.
     pub fn apply_moves(&self, revision: u64, moves: Vec<DeclaredMove>) {
@@ -225,30 +238,26 @@
     let listener_tasks = listeners::listen(&entry, closed).await?;
     let mut serving = listener_tasks.callers;
     let socket = datagrams::bind(settings.peer).await?;
+    let socket = Arc::new(socket);
+    let exchange = move |entry| datagrams::run(entry, Arc::clone(&socket));
     let mut tasks = vec![
-        tokio::spawn(feeds::nodes::follow(Arc::clone(&entry))),
-        tokio::spawn(datagrams::run(Arc::clone(&entry), socket)),
+        spawn(&entry, "nodes", feeds::nodes::follow),
+        spawn(&entry, "datagrams", exchange),
     ];
     // Whether the other feeds have a relay depends on the number of entries.
     feeds::nodes::wait_listed(&entry).await;
-    let spawn = |name, task: fn(Arc<Entry>) -> BoxFuture<'static, ()>| {
-        tokio::spawn(supervise(Arc::clone(&entry), name, task))
-    };
     tasks.extend([
-        spawn("catalog", |entry| feeds::catalog::follow(entry).boxed()),
-        spawn("backends", |entry| feeds::backends::follow(entry).boxed()),
-        spawn("moves", |entry| feeds::moves::follow(entry).boxed()),
-        spawn("quarantine", |entry| {
-            feeds::quarantine::follow(entry).boxed()
-        }),
-        spawn("blocks", |entry| quarantine::run(entry).boxed()),
-        spawn("leader", |entry| leader::run(entry).boxed()),
-        spawn("tick", |entry| tick(entry).boxed()),
+        spawn(&entry, "catalog", feeds::catalog::follow),
+        spawn(&entry, "backends", feeds::backends::follow),
+        spawn(&entry, "moves", feeds::moves::follow),
+        spawn(&entry, "quarantine", feeds::quarantine::follow),
+        spawn(&entry, "blocks", quarantine::run),
+        spawn(&entry, "leader", leader::run),
+        spawn(&entry, "tick", tick),
     ]);
     if settings.bounds.has_evacuations {
-        tasks.push(spawn("evacuations", |entry| {
-            feeds::evacuations::follow(entry).boxed()
-        }));
+        let following = feeds::evacuations::follow;
+        tasks.push(spawn(&entry, "evacuations", following));
     }
     entry.events.write(
         Event::new("started")
@@ -266,17 +275,28 @@
     Ok(())
 }
 
-/// Runs a task, and starts it anew with a pause if it panics.
-pub async fn supervise(
-    entry: Arc<Entry>,
+/// Spawns a task that is started again, after a pause, whenever it panics.
+pub fn spawn<F>(
+    entry: &Arc<Entry>,
     name: &'static str,
-    task: impl Fn(Arc<Entry>) -> BoxFuture<'static, ()>,
-) {
-    // A task that has panicked is dropped, and all that it leaves behind is shared state
-    // that is behind locks.
-    let run = || AssertUnwindSafe(task(Arc::clone(&entry))).catch_unwind();
-    while run().await.is_err() {
-        metrics::counter!("cassialock_task_panics_total", "task" => name).increment(1);
+    task: impl Fn(Arc<Entry>) -> F + Send + 'static,
+) -> JoinHandle<()>
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    tokio::spawn(supervise(Arc::clone(entry), name, task))
+}
+
+async fn supervise<F>(entry: Arc<Entry>, name: &'static str, task: impl Fn(Arc<Entry>) -> F)
+where
+    F: Future<Output = ()>,
+{
+    // A task that has panicked leaves nothing behind but shared state, which is locked.
+    while AssertUnwindSafe(task(Arc::clone(&entry)))
+        .catch_unwind()
+        .await
+        .is_err()
+    {
         let event = Event::new("task_restarted").with("task", name);
         entry.events.write(event.with_ms("pause_ms", RESTART_PAUSE));
         tokio::time::sleep(RESTART_PAUSE).await;
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -371,7 +371,7 @@
         let store = &entry.adapter.store;
         let changes = changes.as_ref();
         let era = changes.map(|changes| store.era_of(changes.revision));
-        entry.backends.record_store_answer(era, known, now);
+        entry.record_store_answer(era, known);
     }
     // The recorded revision has advanced, so the store will not deliver these
     // changes again.
--- a/tests/contract/odd_entries.rs
+++ b/tests/contract/odd_entries.rs
@@ -65,29 +65,55 @@
     }
 }
 
+/// Returns the objects that a store lists.
+async fn list(page: Vec<u8>) -> Vec<Object> {
+    let store = store_of(page).await;
+    let listing = store.list(ObjectKind::Backends, Consistency::Current).await;
+    listing.unwrap().objects
+}
+
+/// Returns the objects of the changes that a store delivers up to revision 9.
+async fn watch(page: Vec<u8>) -> Vec<Object> {
+    let store = store_of(page).await;
+    let wait = Duration::from_millis(1);
+    let watched = store.watch(ObjectKind::Backends, 5, wait).await;
+    let Ok(WatchResult::Changes(9, changes)) = watched else {
+        panic!("{watched:?}");
+    };
+    changes.into_iter().map(|change| change.object).collect()
+}
+
+/// Returns an entry of such content and a sound one, each in its own bytes.
+fn beside_sound(odd: &[u8]) -> [Vec<u8>; 2] {
+    let before = br#"{"metadata":{"name":"odd","revision":7},"status":{},"spec":"#;
+    let odd = [before.as_slice(), odd, b"}"].concat();
+    [odd, object("sound", SOUND).into_bytes()]
+}
+
+fn page(objects: &[Vec<u8>]) -> Vec<u8> {
+    let items = objects.join(b",".as_slice());
+    [b"{\"items\":[", &*items, b"],\"as_of\":9}"].concat()
+}
+
+fn changes(objects: &[Vec<u8>]) -> Vec<u8> {
+    let event = |object: &Vec<u8>| [b"{\"object\":", &**object, b"}"].concat();
+    let events: Vec<Vec<u8>> = objects.iter().map(event).collect();
+    let events = events.join(b",".as_slice());
+    [b"{\"events\":[", &*events, b"],\"as_of\":9}"].concat()
+}
+
 #[tokio::test]
 async fn an_odd_server_among_others_does_not_end_a_listing() {
     for odd in odd_contents() {
-        let items = [object("odd", &odd), object("sound", SOUND)].join(",");
-        let store = store_of(format!(r#"{{"items":[{items}],"as_of":9}}"#)).await;
-        let listing = store.list(ObjectKind::Backends, Consistency::Current).await;
-        assert_one_usable(&listing.unwrap().objects, &odd);
+        let objects = list(page(&beside_sound(odd.as_bytes()))).await;
+        assert_one_usable(&objects, &odd);
     }
 }
 
 #[tokio::test]
 async fn an_odd_server_among_others_does_not_end_a_watch() {
     for odd in odd_contents() {
-        let event = |object: String| format!(r#"{{"object":{object}}}"#);
-        let events = [event(object("odd", &odd)), event(object("sound", SOUND))].join(",");
-        let store = store_of(format!(r#"{{"events":[{events}],"as_of":9}}"#)).await;
-        let watched = store
-            .watch(ObjectKind::Backends, 5, Duration::from_millis(1))
-            .await;
-        let Ok(WatchResult::Changes(9, changes)) = watched else {
-            panic!("{watched:?}");
-        };
-        let objects: Vec<Object> = changes.into_iter().map(|change| change.object).collect();
+        let objects = watch(changes(&beside_sound(odd.as_bytes()))).await;
         assert_one_usable(&objects, &odd);
     }
 }
@@ -133,42 +159,17 @@
 async fn an_entry_that_is_no_text_does_not_hide_the_others() {
     for odd in unreadable_contents() {
         let shown = String::from_utf8_lossy(&odd).into_owned();
-        let (before, after) = (br#"{"metadata":{"name":"odd","revision":7},"spec":"#, b"}");
-        let odd = [before.as_slice(), &odd, after].concat();
-        let sound = object("sound", SOUND).into_bytes();
-        let page = [b"{\"items\":[", &*odd, b",", &*sound, b"],\"as_of\":9}"].concat();
-        let store = store_of(page).await;
-        let listing = store.list(ObjectKind::Backends, Consistency::Current).await;
-        assert_one_usable(&listing.unwrap().objects, &shown);
-        let events = [
-            b"{\"events\":[{\"object\":",
-            &*odd,
-            b"},{\"object\":",
-            &*sound,
-            b"}],\"as_of\":9}",
-        ];
-        let store = store_of(events.concat()).await;
-        let watched = store
-            .watch(ObjectKind::Backends, 5, Duration::from_millis(1))
-            .await;
-        let Ok(WatchResult::Changes(9, changes)) = watched else {
-            panic!("{watched:?}");
-        };
-        let objects: Vec<Object> = changes.into_iter().map(|change| change.object).collect();
-        assert_one_usable(&objects, &shown);
+        let objects = beside_sound(&odd);
+        assert_one_usable(&list(page(&objects)).await, &shown);
+        assert_one_usable(&watch(changes(&objects)).await, &shown);
     }
 }
 
 /// Guards against finding no server, because the name of another entry is not in UTF-8.
 #[tokio::test]
 async fn an_entry_whose_name_is_no_text_does_not_hide_the_others() {
-    let items = [object("BYTE", SOUND), object("sound", SOUND)].join(",");
-    let store = store_of(with_bad_byte(&format!(
-        r#"{{"items":[{items}],"as_of":9}}"#
-    )))
-    .await;
-    let listing = store.list(ObjectKind::Backends, Consistency::Current).await;
-    let objects = listing.unwrap().objects;
+    let named = with_bad_byte(&object("BYTE", SOUND));
+    let objects = list(page(&[named, object("sound", SOUND).into_bytes()])).await;
     assert_eq!(objects.len(), 1);
     assert!(matches!(objects[0].content, Content::Backend(_)));
 }
--- a/tests/entry/aggregation.rs
+++ b/tests/entry/aggregation.rs
@@ -101,7 +101,7 @@
     }
     let start = |(entry, socket): (Arc<Entry>, UdpSocket)| Node {
         tasks: [
-            tokio::spawn(datagrams::run(Arc::clone(&entry), socket)),
+            tokio::spawn(datagrams::run(Arc::clone(&entry), Arc::new(socket))),
             tokio::spawn(answer_as_store(Arc::clone(&entry))),
         ],
         entry,
--- a/tests/entry/feeds.rs
+++ b/tests/entry/feeds.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use cassialock::entry::Entry;
 use cassialock::entry::adapter::Change;
 use cassialock::entry::adapter::Listing;
 use cassialock::entry::adapter::StoreError;
@@ -43,6 +44,20 @@
     Answer::Now(Ok(WatchResult::Changes(2, vec![change])))
 }
 
+/// Follows the servers of a scripted store for some time.
+async fn follow_backends(script: &Arc<Script>, span: Duration) -> Arc<Entry> {
+    let entry = fakes::entry(script);
+    let task = tokio::spawn(feeds::backends::follow(Arc::clone(&entry)));
+    tokio::time::sleep(span).await;
+    task.abort();
+    entry
+}
+
+/// Returns whether the entry still sends requests to a server.
+fn has_server(entry: &Entry) -> bool {
+    entry.backends.has_usable("dosel-llm", entry.clock.now())
+}
+
 /// Guards against a first watch with the usual timeout, which returns seconds
 /// later, so that the end of the outage is known too late.
 #[tokio::test(start_paused = true)]
@@ -50,10 +65,7 @@
     let mut answers: Vec<Answer> = (0..FAILURES).map(|_| down()).collect();
     answers.extend([Answer::AfterWait, Answer::AfterWait]);
     let script = script(answers);
-    let entry = fakes::entry(&script);
-    let task = tokio::spawn(feeds::backends::follow(Arc::clone(&entry)));
-    tokio::time::sleep(Duration::from_secs(30)).await;
-    task.abort();
+    follow_backends(&script, Duration::from_secs(30)).await;
     let watches = script.watches.lock().unwrap();
     assert!(
         watches[0].wait > PROBE_TIMEOUT,
@@ -78,12 +90,8 @@
     answers.extend((0..3).map(|_| Answer::AfterWait));
     answers.push(removal("i-1"));
     let script = script(answers);
-    let entry = fakes::entry(&script);
-    let task = tokio::spawn(feeds::backends::follow(Arc::clone(&entry)));
-    tokio::time::sleep(Duration::from_secs(30)).await;
-    task.abort();
-    let now = entry.clock.now();
-    assert!(!entry.backends.has_usable("dosel-llm", now));
+    let entry = follow_backends(&script, Duration::from_secs(30)).await;
+    assert!(!has_server(&entry));
 }
 
 #[tokio::test(start_paused = true)]
@@ -91,13 +99,9 @@
     let mut answers: Vec<Answer> = (0..FAILURES).map(|_| down()).collect();
     answers.push(removal("i-1"));
     let script = script(answers);
-    let entry = fakes::entry(&script);
-    let task = tokio::spawn(feeds::backends::follow(Arc::clone(&entry)));
-    tokio::time::sleep(Duration::from_secs(8)).await;
-    task.abort();
-    let now = entry.clock.now();
+    let entry = follow_backends(&script, Duration::from_secs(8)).await;
     assert!(script.answers.lock().unwrap().is_empty());
-    assert!(entry.backends.has_usable("dosel-llm", now));
+    assert!(has_server(&entry));
 }
 
 /// Guards against sending to servers that are gone: the watch that reports them was cut and
@@ -106,12 +110,9 @@
 async fn a_cut_watch_of_the_servers_is_repeated_at_once() {
     let cut = || Answer::Now(Err(StoreError::Cut));
     let script = script(vec![cut(), Answer::AfterWait, cut(), removal("i-1")]);
-    let entry = fakes::entry(&script);
-    let task = tokio::spawn(feeds::backends::follow(Arc::clone(&entry)));
-    tokio::time::sleep(Duration::from_millis(2_500)).await;
-    task.abort();
+    let entry = follow_backends(&script, Duration::from_millis(2_500)).await;
     assert!(script.answers.lock().unwrap().is_empty());
-    assert!(!entry.backends.has_usable("dosel-llm", entry.clock.now()));
+    assert!(!has_server(&entry));
 }
 
 /// Guards against keeping servers that are gone after one cut call, which was taken for an
@@ -126,7 +127,7 @@
     tokio::time::sleep(Duration::from_secs(5)).await;
     task.abort();
     assert!(script.answers.lock().unwrap().is_empty());
-    assert!(!entry.backends.has_usable("dosel-llm", entry.clock.now()));
+    assert!(!has_server(&entry));
 }
 
 /// Guards against dropping live servers that the older copy of the store lacks.
@@ -142,7 +143,7 @@
     tokio::time::sleep(Duration::from_secs(2)).await;
     task.abort();
     assert!(script.answers.lock().unwrap().is_empty());
-    assert!(entry.backends.has_usable("dosel-llm", entry.clock.now()));
+    assert!(has_server(&entry));
 }
 
 /// A call that is lost in an outage is never answered, so a feed must not wait for
--- a/tests/entry/supervised.rs
+++ b/tests/entry/supervised.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use cassialock::entry;
-use futures_util::FutureExt;
 
 use crate::fakes;
 use crate::fakes::Script;
@@ -17,14 +16,13 @@
     let entry = fakes::entry(&Arc::new(Script::default()));
     let starts = Arc::new(AtomicUsize::new(0));
     let counted = Arc::clone(&starts);
-    let task = tokio::spawn(entry::supervise(entry, "leader", move |_| {
+    let task = entry::spawn(&entry, "leader", move |_| {
         let count = counted.fetch_add(1, Ordering::Relaxed);
         async move {
             assert!(count >= 2, "the task fails twice");
             std::future::pending::<()>().await;
         }
-        .boxed()
-    }));
+    });
     tokio::time::sleep(Duration::from_millis(500)).await;
     assert_eq!(starts.load(Ordering::Relaxed), 1, "a pause comes first");
     tokio::time::sleep(Duration::from_secs(5)).await;
