Put the calls for the records of an era in one place

Four calls for the lease and the claim named the era's record, made the call and checked the era by hand, and the era was kept twice, in the elector and beside it. `leader::records` makes the calls, an ended era is an error like any other lost answer, and the elector alone keeps the era and judges whether it follows the one before. `ClaimHistory::next` took the newest ended window only to return it, and a type of its own said "a window or none".

The tests of whole entries had a second fake of the store; the fake that there was keeps the records of the lease holder now. The model of the drills is split from its tests, and the tests of leases share their set-up.

--- a/src/core/lease/mod.rs
+++ b/src/core/lease/mod.rs
@@ -216,13 +216,19 @@
     /// this node no longer holds the lease of the ended one.
     ///
     /// Returns whether only this node can have held the lease until now, since it last
-    /// acquired it.
+    /// acquired it. Another node may have held it in an era that this one has not seen.
     pub fn record_era(&mut self, era: u64, now: Time) -> bool {
+        let is_next = era == self.era + 1;
         self.era = era;
         self.must_read = true;
         self.invalidate();
-        let is_before = |until| now < until;
-        self.sole_until.take().is_some_and(is_before)
+        let is_sole = |until| now < until;
+        self.sole_until.take().is_some_and(is_sole) && is_next
+    }
+
+    /// Returns the era of the store that this node knows.
+    pub const fn era(&self) -> u64 {
+        self.era
     }
 
     /// Records that a write failed or has an unknown outcome, so that the lease
--- a/src/core/usage/claims.rs
+++ b/src/core/usage/claims.rs
@@ -9,19 +9,10 @@
 /// What the holder of the lease may report.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Next {
-    /// Windows after this one, or any window.
-    After(Option<u64>),
-    /// None, before the windows up to this one were closed by an empty claim.
-    Close(u64),
-}
-
-/// The claim record of the current era, as read from the store.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Record {
-    /// The newest claimed or closed window.
-    Window(u64),
-    /// There is no record, or none that can be read.
-    Missing,
+    /// The windows after this one.
+    After(u64),
+    /// Nothing, before all windows that have ended were closed by a claim without counts.
+    Close,
 }
 
 /// What one node knows of claims.
@@ -57,12 +48,11 @@
         self.before_era = self.newest.take().filter(|_| is_sole);
     }
 
-    /// Returns what may be reported next; `ended` is the newest window that has ended.
-    pub fn next(&self, record: Record, ended: u64) -> Next {
-        match (record, self.before_era) {
-            (Record::Window(window), _) => Next::After(Some(window)),
-            (Record::Missing, Some(window)) => Next::After(Some(window)),
-            (Record::Missing, None) => Next::Close(ended),
-        }
+    /// Returns what may be reported next; `recorded` is the newest window in the record of
+    /// the current era, or `None` if there is no record that can be read.
+    pub fn next(&self, recorded: Option<u64>) -> Next {
+        recorded
+            .or(self.before_era)
+            .map_or(Next::Close, Next::After)
     }
 }
--- a/src/entry/leader/mod.rs
+++ b/src/entry/leader/mod.rs
@@ -8,7 +8,6 @@
 
 use serde_json::Value;
 
-use crate::core::Name;
 use crate::core::config::Fencing;
 use crate::core::fleet::scaling::Autoscaler;
 use crate::core::lease::Action;
@@ -29,6 +28,7 @@
 use crate::entry::membership;
 use crate::telemetry::events::Event;
 
+mod records;
 mod scaling;
 mod usage_report;
 
@@ -68,8 +68,6 @@
     pending: Option<(Lease, Time)>,
     claim: Option<UsageClaim>,
     claim_history: ClaimHistory,
-    /// Era of the store in which the lease and the claim are kept.
-    era: u64,
     autoscalers: NameMap<Autoscaler>,
     cleaned_at: Time,
     moves_reported: Time,
@@ -94,7 +92,6 @@
         pending: None,
         claim: None,
         claim_history: ClaimHistory::new(),
-        era: 0,
         autoscalers: NameMap::new(),
         cleaned_at: entry.clock.now(),
         moves_reported: Time::default(),
@@ -145,52 +142,11 @@
         }
     }
 
-    /// Notes a new era of the store and returns whether one has begun.
-    ///
-    /// This is checked after every call for the lease or the claim: what was read or
-    /// written in an ended era says nothing about the current one.
-    fn note_era(&mut self, entry: &Entry) -> bool {
-        let era = entry.adapter.store.era();
-        if era == self.era {
-            return false;
-        }
-        // Another node may have held the lease in an era that this one has not seen.
-        let is_next = era == self.era + 1;
-        let is_sole = self.lease_state.record_era(era, entry.clock.now()) && is_next;
-        self.claim_history.record_era(is_sole);
-        entry.events.write(
-            Event::new("store_era_began")
-                .with("era", era)
-                .with("era_before", self.era)
-                .with("claims_known", is_sole),
-        );
-        self.era = era;
-        self.revision = None;
-        self.pending = None;
-        self.claim = None;
-        entry.membership.set_lease(None);
-        true
-    }
-
-    /// Returns the name of the object that takes the place of `name` in this era.
-    ///
-    /// A write that the store carries out late cannot affect an object of a later era.
-    fn era_name(&self, name: &str) -> Name {
-        match self.era {
-            0 => name.into(),
-            era => format!("{name}-{era}").into(),
-        }
-    }
-
     /// Reads the lease and returns whether that succeeded.
     async fn read_lease(&mut self, entry: &Entry) -> bool {
-        let store = &entry.adapter.store;
-        let read = store
-            .get(ObjectKind::Leases, &self.era_name(LEASE_NAME))
+        let read = self
+            .read_record(entry, ObjectKind::Leases, LEASE_NAME)
             .await;
-        if self.note_era(entry) {
-            return false;
-        }
         match read {
             Ok(object) => {
                 self.revision = object.as_ref().map(|object| object.revision);
@@ -218,15 +174,10 @@
     async fn write_lease(&mut self, entry: &Entry, lease: Lease, was_held: bool) {
         let sent = entry.clock.now();
         let value = serde_json::to_value(&lease).unwrap_or(Value::Null);
-        let store = &entry.adapter.store;
-        let name = self.era_name(LEASE_NAME);
-        let result = store
-            .write(ObjectKind::Leases, &name, self.revision, &value)
+        let written = self
+            .write_record(entry, ObjectKind::Leases, LEASE_NAME, self.revision, &value)
             .await;
-        if self.note_era(entry) {
-            return;
-        }
-        match result {
+        match written {
             Ok(revision) => {
                 self.revision = Some(revision);
                 self.lease_state.record_written(lease.clone(), sent);
@@ -261,12 +212,10 @@
         };
         entry.membership.set_lease(None);
         let value = serde_json::to_value(&lease).unwrap_or(Value::Null);
-        let store = &entry.adapter.store;
-        let name = self.era_name(LEASE_NAME);
-        match store
-            .write(ObjectKind::Leases, &name, self.revision, &value)
-            .await
-        {
+        let written = self
+            .write_record(entry, ObjectKind::Leases, LEASE_NAME, self.revision, &value)
+            .await;
+        match written {
             Ok(_) => {
                 let event = Event::new("lease_released").with("fence", lease.fence);
                 entry.events.write(event);
--- a/src/entry/leader/usage_report.rs
+++ b/src/entry/leader/usage_report.rs
@@ -8,7 +8,6 @@
 use crate::core::name_map::NameMap;
 use crate::core::usage::WindowCounts;
 use crate::core::usage::claims::Next;
-use crate::core::usage::claims::Record;
 use crate::entry::Entry;
 use crate::entry::adapter::CloudReply;
 use crate::entry::adapter::Content;
@@ -52,11 +51,9 @@
         }
         let Some(claim) = &self.claim else { return };
         let stored = claim.counts.as_ref().map(|counts| counts.window);
-        let record = stored.map_or(Record::Missing, Record::Window);
-        let ended = entry.usage.newest_ended(entry.cluster_time());
-        let reported = match self.claim_history.next(record, ended) {
-            Next::After(window) => window.max(entry.usage.claimed()),
-            Next::Close(window) => return self.close_windows(entry, window).await,
+        let reported = match self.claim_history.next(stored) {
+            Next::After(window) => Some(window).max(entry.usage.claimed()),
+            Next::Close => return self.close_windows(entry).await,
         };
         if claim.is_sent || stored.is_none() || stored < reported {
             let Some(counts) = entry.usage.due(entry, reported) else {
@@ -88,27 +85,23 @@
         }
     }
 
-    /// Claims the windows up to `window` without reporting them.
-    async fn close_windows(&mut self, entry: &Entry, window: u64) {
+    /// Claims the windows that have ended without reporting them.
+    async fn close_windows(&mut self, entry: &Entry) {
+        let window = entry.usage.newest_ended(entry.cluster_time());
         let counts = WindowCounts {
             window,
             requests: NameMap::new(),
         };
         if self.write_claim(entry, counts).await {
             let event = Event::new("usage_windows_closed").with("window", window);
-            entry.events.write(event.with("era", self.era));
+            entry
+                .events
+                .write(event.with("era", self.lease_state.era()));
         }
     }
 
     async fn read_claim(&mut self, entry: &Entry) -> bool {
-        let store = &entry.adapter.store;
-        let read = store
-            .get(ObjectKind::Usage, &self.era_name(CLAIM_NAME))
-            .await;
-        if self.note_era(entry) {
-            return false;
-        }
-        match read {
+        match self.read_record(entry, ObjectKind::Usage, CLAIM_NAME).await {
             Ok(object) => {
                 let revision = object.as_ref().map(|object| object.revision);
                 let counts: Option<WindowCounts> = object.and_then(|object| match object.content {
@@ -131,14 +124,9 @@
     async fn write_claim(&mut self, entry: &Entry, counts: WindowCounts) -> bool {
         let revision = self.claim.as_ref().and_then(|claim| claim.revision);
         let value = serde_json::to_value(&counts).unwrap_or(Value::Null);
-        let store = &entry.adapter.store;
-        let name = self.era_name(CLAIM_NAME);
-        let written = store
-            .write(ObjectKind::Usage, &name, revision, &value)
+        let written = self
+            .write_record(entry, ObjectKind::Usage, CLAIM_NAME, revision, &value)
             .await;
-        if self.note_era(entry) {
-            return false;
-        }
         match written {
             Ok(revision) => {
                 self.record_claimed(entry, counts.window);
--- a/tests/decisions/drills.rs
+++ b/tests/decisions/drills/model.rs
@@ -1,8 +1,5 @@
-//! Model of nodes that share a store which may return from an older copy of itself.
-//!
-//! After any step the store may be restored, nodes may be killed, and answers and writes may
-//! be lost or late. The cloud checks that no two nodes use one fencing token and that no
-//! window is reported with two different counts.
+//! The model: a store, nodes with their electors and claims, and a cloud that checks what they
+//! do.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -12,19 +9,12 @@
 use cassialock::core::lease::LeaderElector;
 use cassialock::core::lease::Lease;
 use cassialock::core::lease::Timings;
-use cassialock::core::lease::fence;
 use cassialock::core::time::Time;
 use cassialock::core::usage::claims::ClaimHistory;
 use cassialock::core::usage::claims::Next;
-use cassialock::core::usage::claims::Record;
 use proptest::prelude::Just;
-use proptest::prelude::ProptestConfig;
 use proptest::prelude::Strategy;
 use proptest::prop_oneof;
-use proptest::test_runner::RngAlgorithm;
-use proptest::test_runner::TestCaseError;
-use proptest::test_runner::TestRng;
-use proptest::test_runner::TestRunner;
 
 const NODES: usize = 3;
 
@@ -37,11 +27,8 @@
 /// Time after the end of a window at which it is reported, in milliseconds.
 const SETTLE_MS: u64 = 4_000;
 
-/// Sequences of operations that are played.
-const CASES: u32 = 3_000;
-
 #[derive(Clone, Copy, Debug)]
-enum Op {
+pub enum Op {
     /// Each node does what it does several times a second, for some rounds.
     Rounds(u8),
     /// The next write of a node is carried out, but its answer is lost.
@@ -60,7 +47,7 @@
     Freeze(usize, u8),
 }
 
-fn ops() -> impl Strategy<Value = Vec<Op>> {
+pub fn ops() -> impl Strategy<Value = Vec<Op>> {
     let op = prop_oneof![
         8 => (1..24_u8).prop_map(Op::Rounds),
         2 => (0..NODES).prop_map(Op::LoseAnswer),
@@ -136,7 +123,6 @@
     history: ClaimHistory,
     /// Era of the latest answer.
     answered: u64,
-    era: u64,
     revision: Option<u64>,
     claim: Option<Known>,
     loses_answer: bool,
@@ -157,7 +143,6 @@
             elector: LeaderElector::new(name, Fencing::Refused).with_timings(timings),
             history: ClaimHistory::new(),
             answered: 0,
-            era: 0,
             revision: None,
             claim: None,
             loses_answer: false,
@@ -167,25 +152,23 @@
     }
 
     fn object_name(&self, base: &str) -> String {
-        format!("{base}-{}", self.era)
+        format!("{base}-{}", self.elector.era())
     }
 
     /// Notes a new era and returns whether there is one.
     fn note_era(&mut self, now: Time) -> bool {
-        if self.answered == self.era {
+        if self.answered == self.elector.era() {
             return false;
         }
-        let is_next = self.answered == self.era + 1;
-        let is_sole = self.elector.record_era(self.answered, now) && is_next;
+        let is_sole = self.elector.record_era(self.answered, now);
         self.history.record_era(is_sole);
-        self.era = self.answered;
         self.revision = None;
         self.claim = None;
         true
     }
 }
 
-struct Model {
+pub struct Model {
     now: u64,
     store: Store,
     nodes: Vec<Node>,
@@ -193,19 +176,19 @@
     /// Nodes by the token that they used.
     tokens: BTreeMap<u64, usize>,
     /// Counts by the window that they were accepted for.
-    reports: BTreeMap<u64, u64>,
+    pub reports: BTreeMap<u64, u64>,
     counts: u64,
 }
 
 /// What the cloud has seen that must not happen.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Fault {
+pub enum Fault {
     TokenOfTwoNodes,
     WindowTwice,
 }
 
 impl Model {
-    fn new(names_era: bool) -> Self {
+    pub fn new(names_era: bool) -> Self {
         let store = Store {
             names_era,
             era: 1,
@@ -222,6 +205,11 @@
         }
     }
 
+    /// Returns the newest window that has ended.
+    pub fn ended(&self) -> u64 {
+        self.now / WINDOW_MS - 1
+    }
+
     fn time(&self) -> Time {
         Time::from_millis(self.now)
     }
@@ -297,11 +285,9 @@
             return Ok(());
         };
         let window = known.claim.map(|claim| claim.0);
-        let record = window.map_or(Record::Missing, Record::Window);
-        let ended = self.now / WINDOW_MS - 1;
-        let after = match self.nodes[index].history.next(record, ended) {
-            Next::Close(window) => {
-                self.claim(index, known.revision, (window, 0));
+        let after = match self.nodes[index].history.next(window) {
+            Next::Close => {
+                self.claim(index, known.revision, (self.ended(), 0));
                 return Ok(());
             }
             Next::After(after) => after,
@@ -309,7 +295,7 @@
         let mut known = known;
         if known.is_sent || window.is_none() {
             let settled = (self.now - SETTLE_MS) / WINDOW_MS - 1;
-            let next = after.map_or(settled, |after| (after + 1).max(settled - 2));
+            let next = (after + 1).max(settled - 2);
             if next > settled {
                 return Ok(());
             }
@@ -394,7 +380,7 @@
         Ok(())
     }
 
-    fn run(&mut self, op: Op) -> Result<(), Fault> {
+    pub fn run(&mut self, op: Op) -> Result<(), Fault> {
         match op {
             Op::Rounds(count) => {
                 for round in 0..usize::from(count) {
@@ -428,95 +414,3 @@
         Ok(())
     }
 }
-
-/// Returns the operations that lead to a fault and the fault, if any were found.
-fn find_fault(names_era: bool, is_sought: impl Fn(Fault) -> bool) -> Option<String> {
-    let config = ProptestConfig {
-        cases: CASES,
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    };
-    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
-    let mut runner = TestRunner::new_with_rng(config, rng);
-    let played = runner.run(&ops(), |ops| {
-        let mut model = Model::new(names_era);
-        for op in ops {
-            match model.run(op) {
-                Err(fault) if is_sought(fault) => {
-                    return Err(TestCaseError::fail(format!("{fault:?}")));
-                }
-                Err(_) => return Ok(()),
-                Ok(()) => {}
-            }
-        }
-        Ok(())
-    });
-    played.err().map(|e| e.to_string())
-}
-
-/// Guards against a fencing token that two nodes use after a drill, because the one who knew
-/// of it was killed.
-#[test]
-fn no_token_is_given_out_twice_whatever_is_restored_and_killed() {
-    let found = find_fault(true, |fault| fault == Fault::TokenOfTwoNodes);
-    assert_eq!(found, None);
-}
-
-/// Guards against two counts for one window after a drill, because the one who knew of its
-/// claim was killed.
-#[test]
-fn no_window_is_reported_twice_whatever_is_restored_and_killed() {
-    let found = find_fault(true, |fault| fault == Fault::WindowTwice);
-    assert_eq!(found, None);
-}
-
-/// The model finds both faults where the store does not name its era.
-#[test]
-fn the_model_finds_both_faults_without_eras() {
-    for sought in [Fault::TokenOfTwoNodes, Fault::WindowTwice] {
-        let found = find_fault(false, |fault| fault == sought);
-        assert!(found.is_some(), "{sought:?}");
-    }
-}
-
-/// All of a service is lost if nobody reports any more.
-#[test]
-fn windows_are_reported_after_a_restore_and_a_restart_of_all() {
-    let mut model = Model::new(true);
-    for op in [
-        Op::Rounds(120),
-        Op::Restore(8),
-        Op::Kill(0b111),
-        Op::Rounds(120),
-    ] {
-        model.run(op).unwrap();
-    }
-    let ended = model.now / WINDOW_MS - 1;
-    let newest = *model.reports.last_key_value().unwrap().0;
-    assert!(newest + 1 >= ended, "{newest} of {ended}");
-    let first = *model.reports.first_key_value().unwrap().0;
-    let missing = (first..=newest).filter(|window| !model.reports.contains_key(window));
-    assert!(missing.count() <= 3, "{:?}", model.reports);
-}
-
-/// A drill costs no window if the holder of the lease lives through it.
-#[test]
-fn no_window_is_missing_after_a_restore_that_the_holder_lives_through() {
-    let mut model = Model::new(true);
-    for op in [Op::Rounds(120), Op::Restore(8), Op::Rounds(120)] {
-        model.run(op).unwrap();
-    }
-    let first = *model.reports.first_key_value().unwrap().0;
-    let newest = *model.reports.last_key_value().unwrap().0;
-    let missing = (first..=newest).filter(|window| !model.reports.contains_key(window));
-    assert_eq!(missing.count(), 0, "{:?}", model.reports);
-}
-
-/// A token must fit a number that a reader holds as a double.
-#[test]
-fn tokens_fit_a_double_and_follow_those_without_an_era() {
-    let highest = fence::first(u64::from(u16::MAX)) + u64::from(u32::MAX);
-    assert!(highest < 1 << 53);
-    assert!(fence::first(1) > u64::from(u32::MAX));
-    assert_eq!((fence::first(0), fence::era_of(fence::first(7))), (1, 7));
-}
--- a/tests/decisions/lease.rs
+++ b/tests/decisions/lease.rs
@@ -269,26 +269,37 @@
     }
 }
 
-/// The store comes back from a copy that is older than the last lease.
-#[test]
-fn a_fencing_token_is_not_given_out_again_after_a_restore() {
-    let mut first = LeaderElector::new("a".into(), Fencing::Refused);
-    let old = take(&mut first, time_at(0));
-    let mut second = LeaderElector::new("b".into(), Fencing::Refused);
-    second.record_read(Some(old.clone().released()), time_at(1_000));
-    let Action::Write(lease) = second.next_action(true, time_at(1_000)) else {
+/// Returns the lease that an elector is about to write.
+fn next_write(elector: &mut LeaderElector, now: Time) -> Lease {
+    let Action::Write(lease) = elector.next_action(true, now) else {
         panic!("the lease was not taken");
     };
+    lease
+}
+
+/// Returns a lease as one node released it, and the elector of the next node that took it,
+/// with its lease.
+fn succession() -> (Lease, LeaderElector, Lease) {
+    let mut first = LeaderElector::new("a".into(), Fencing::Refused);
+    let released = take(&mut first, time_at(0)).released();
+    let mut second = LeaderElector::new("b".into(), Fencing::Refused);
+    second.record_read(Some(released.clone()), time_at(1_000));
+    let lease = next_write(&mut second, time_at(1_000));
     second.record_written(lease.clone(), time_at(1_000));
+    (released, second, lease)
+}
+
+/// The store comes back from a copy that is older than the last lease.
+#[test]
+fn a_fencing_token_is_not_given_out_again_after_a_restore() {
+    let (old, mut second, lease) = succession();
     let mut third = LeaderElector::new("c".into(), Fencing::Refused);
     third.record_reported(lease.clone(), time_at(1_500));
-    for copy in [None, Some(old.released())] {
+    for copy in [None, Some(old)] {
         for elector in [&mut second, &mut third] {
             elector.invalidate();
             elector.record_read(copy.clone(), time_at(2_000));
-            let Action::Write(next) = elector.next_action(true, time_at(2_000)) else {
-                panic!("the lease was not taken");
-            };
+            let next = next_write(elector, time_at(2_000));
             assert!(next.fence > lease.fence, "{next:?} after {lease:?}");
         }
     }
@@ -298,20 +309,12 @@
 /// lacks it and nobody remembers it.
 #[test]
 fn a_token_is_not_given_out_again_if_nobody_remembers_it() {
-    let mut first = LeaderElector::new("a".into(), Fencing::Refused);
-    let copied = take(&mut first, time_at(0));
-    let mut second = LeaderElector::new("b".into(), Fencing::Refused);
-    second.record_read(Some(copied.clone().released()), time_at(1_000));
-    let Action::Write(lost) = second.next_action(true, time_at(1_000)) else {
-        panic!("the lease was not taken");
-    };
-    for copy in [None, Some(copied.released())] {
+    let (old, _, lost) = succession();
+    for copy in [None, Some(old)] {
         let mut third = LeaderElector::new("c".into(), Fencing::Refused);
         third.record_era(1, time_at(2_000));
         third.record_read(copy, time_at(2_000));
-        let Action::Write(next) = third.next_action(true, time_at(2_000)) else {
-            panic!("the lease was not taken");
-        };
+        let next = next_write(&mut third, time_at(2_000));
         assert!(next.fence > lost.fence, "{next:?} after {lost:?}");
     }
 }
--- a/tests/entry/drills.rs
+++ b/tests/entry/drills.rs
@@ -1,6 +1,5 @@
 //! Duties of entries whose store returns from an older copy of itself.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -12,149 +11,22 @@
 use cassialock::entry::adapter::Adapter;
 use cassialock::entry::adapter::Cloud;
 use cassialock::entry::adapter::CloudReply;
-use cassialock::entry::adapter::Consistency;
-use cassialock::entry::adapter::Content;
 use cassialock::entry::adapter::LeaseHolder;
-use cassialock::entry::adapter::Listing;
-use cassialock::entry::adapter::MoveOutcome;
-use cassialock::entry::adapter::Object;
-use cassialock::entry::adapter::ObjectKind;
-use cassialock::entry::adapter::Store;
-use cassialock::entry::adapter::StoreError;
-use cassialock::entry::adapter::WatchResult;
 use cassialock::entry::leader;
 use cassialock::entry::settings::Settings;
 use cassialock::platform::protocol::HeaderProtocol;
 use cassialock::telemetry::events::EventLog;
 use futures_util::future::BoxFuture;
-use serde_json::Value;
 use tokio::task::JoinHandle;
 
 use crate::fakes;
-use crate::fakes::ERA_REVISIONS;
 use crate::fakes::FakeCloud;
+use crate::fakes::FakeStore;
+use crate::fakes::Script;
 
 /// Time in which a window ends and is reported.
 const REPORT_TIME: Duration = Duration::from_secs(20);
 
-/// Objects by kind and name, with their revisions.
-type Objects = BTreeMap<(ObjectKind, String), (u64, Value)>;
-
-/// The state of a store that several entries share.
-#[derive(Clone, Default)]
-struct State {
-    era: u64,
-    revision: u64,
-    objects: Objects,
-}
-
-/// A store that can be restored from a copy.
-#[derive(Clone, Default)]
-struct Drilled(Arc<Mutex<State>>);
-
-impl Drilled {
-    fn copy(&self) -> State {
-        self.0.lock().unwrap().clone()
-    }
-
-    /// Brings the store back from a copy.
-    fn restore(&self, copy: State) {
-        let mut state = self.0.lock().unwrap();
-        let era = state.era + 1;
-        *state = State { era, ..copy };
-    }
-
-    fn put(
-        &self,
-        kind: ObjectKind,
-        name: &str,
-        position: Option<u64>,
-        value: &Value,
-    ) -> Result<u64, StoreError> {
-        let mut state = self.0.lock().unwrap();
-        let (era, revision) = (state.era, state.revision + 1);
-        let key = (kind, name.to_string());
-        let known = state.objects.get(&key);
-        if known.map(|known| era * ERA_REVISIONS + known.0) != position {
-            return Err(StoreError::Conflict);
-        }
-        state.revision = revision;
-        state.objects.insert(key, (revision, value.clone()));
-        Ok(era * ERA_REVISIONS + revision)
-    }
-}
-
-impl Store for Drilled {
-    fn era(&self) -> u64 {
-        self.0.lock().unwrap().era
-    }
-
-    fn era_of(&self, revision: u64) -> u64 {
-        revision / ERA_REVISIONS
-    }
-
-    fn list(
-        &self,
-        _kind: ObjectKind,
-        _consistency: Consistency,
-    ) -> BoxFuture<'_, Result<Listing, StoreError>> {
-        Box::pin(async { Ok(Listing::default()) })
-    }
-
-    fn watch(
-        &self,
-        _kind: ObjectKind,
-        _after: u64,
-        _wait: Duration,
-    ) -> BoxFuture<'_, Result<WatchResult, StoreError>> {
-        Box::pin(std::future::pending())
-    }
-
-    fn get(
-        &self,
-        kind: ObjectKind,
-        name: &str,
-    ) -> BoxFuture<'_, Result<Option<Object>, StoreError>> {
-        let state = self.0.lock().unwrap();
-        let found = state.objects.get(&(kind, name.to_string()));
-        let object = found.map(|(revision, value)| Object {
-            name: name.into(),
-            revision: state.era * ERA_REVISIONS + revision,
-            content: Content::Record(value.clone()),
-        });
-        Box::pin(async { Ok(object) })
-    }
-
-    fn write(
-        &self,
-        kind: ObjectKind,
-        name: &str,
-        revision: Option<u64>,
-        value: &Value,
-    ) -> BoxFuture<'_, Result<u64, StoreError>> {
-        let written = self.put(kind, name, revision, value);
-        Box::pin(async { written })
-    }
-
-    fn remove(
-        &self,
-        _kind: ObjectKind,
-        _name: &str,
-        _revision: u64,
-    ) -> BoxFuture<'_, Result<(), StoreError>> {
-        Box::pin(async { Ok(()) })
-    }
-
-    fn report_move(
-        &self,
-        _name: &str,
-        _target: &str,
-        _outcome: MoveOutcome,
-    ) -> BoxFuture<'_, Result<(), StoreError>> {
-        Box::pin(async { Ok(()) })
-    }
-}
-
 /// A usage report: the node, its token, the window and its number of requests.
 type Report = (String, u64, u64, u64);
 
@@ -193,10 +65,10 @@
 struct Running(Vec<JoinHandle<()>>);
 
 impl Running {
-    fn start(node: &str, store: &Drilled, cloud: &Recorded, clock: Clock) -> Self {
+    fn start(node: &str, store: &Arc<Script>, cloud: &Recorded, clock: Clock) -> Self {
         let adapter = Adapter {
             dialect: Box::new(HeaderProtocol::new()),
-            store: Box::new(store.clone()),
+            store: Box::new(FakeStore(Arc::clone(store))),
             cloud: Box::new(cloud.clone()),
         };
         let settings = Settings {
@@ -247,7 +119,11 @@
 /// power, which nobody remembers anything across.
 #[tokio::test(start_paused = true)]
 async fn a_restore_that_no_process_outlives_repeats_no_token_and_no_window() {
-    let (store, cloud, clock) = (Drilled::default(), Recorded::default(), Clock::new());
+    let (store, cloud, clock) = (
+        Arc::new(Script::default()),
+        Recorded::default(),
+        Clock::new(),
+    );
     let copies = [
         Duration::ZERO,
         REPORT_TIME,
@@ -256,7 +132,7 @@
     for (drill, copied) in copies.into_iter().enumerate() {
         let before = Running::start(&format!("before-{drill}"), &store, &cloud, clock);
         tokio::time::sleep(copied).await;
-        let copy = store.copy();
+        let copy = store.records.lock().unwrap().clone();
         tokio::time::sleep(REPORT_TIME - Duration::from_secs(12)).await;
         // Another process counts the same windows.
         let after = Running::start(&format!("after-{drill}"), &store, &cloud, clock);
@@ -271,16 +147,20 @@
         reports.iter().any(|report| report.0 == "after-2"),
         "{reports:?}"
     );
-    assert!(store.0.lock().unwrap().objects.len() > 2);
+    assert!(store.records.lock().unwrap().objects.len() > 2);
 }
 
 /// Guards against windows that are lost although the holder of the lease knows its claims.
 #[tokio::test(start_paused = true)]
 async fn a_holder_that_outlives_a_restore_reports_all_windows_once() {
-    let (store, cloud, clock) = (Drilled::default(), Recorded::default(), Clock::new());
+    let (store, cloud, clock) = (
+        Arc::new(Script::default()),
+        Recorded::default(),
+        Clock::new(),
+    );
     let holder = Running::start("holder", &store, &cloud, clock);
     tokio::time::sleep(REPORT_TIME).await;
-    let copy = store.copy();
+    let copy = store.records.lock().unwrap().clone();
     tokio::time::sleep(Duration::from_secs(7)).await;
     store.restore(copy);
     tokio::time::sleep(REPORT_TIME).await;
--- a/tests/entry/fakes.rs
+++ b/tests/entry/fakes.rs
@@ -1,5 +1,6 @@
 //! Fakes of the platform that an entry runs on.
 
+use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -64,6 +65,54 @@
     pub written: Mutex<Vec<Object>>,
     /// Era that the store names.
     pub era: AtomicU64,
+    /// Records of the lease holder, which are kept.
+    pub records: Mutex<Records>,
+}
+
+/// Records by kind and name, with their revisions in the current era.
+#[derive(Clone, Default)]
+pub struct Records {
+    revision: u64,
+    pub objects: BTreeMap<(ObjectKind, Name), (u64, Value)>,
+}
+
+impl Script {
+    /// Brings the store back from a copy of its records.
+    pub fn restore(&self, copy: Records) {
+        *self.records.lock().unwrap() = copy;
+        self.era.fetch_add(1, Ordering::Relaxed);
+    }
+
+    fn position(&self, revision: u64) -> u64 {
+        self.era.load(Ordering::Relaxed) * ERA_REVISIONS + revision
+    }
+
+    fn read(&self, kind: ObjectKind, name: &str) -> Option<Object> {
+        let records = self.records.lock().unwrap();
+        let (revision, value) = records.objects.get(&(kind, name.into()))?;
+        Some(Object {
+            name: name.into(),
+            revision: self.position(*revision),
+            content: Content::Record(value.clone()),
+        })
+    }
+
+    fn replace(
+        &self,
+        kind: ObjectKind,
+        name: &str,
+        revision: Option<u64>,
+        value: &Value,
+    ) -> Result<u64, StoreError> {
+        if self.read(kind, name).map(|object| object.revision) != revision {
+            return Err(StoreError::Conflict);
+        }
+        let mut records = self.records.lock().unwrap();
+        records.revision += 1;
+        let row = (records.revision, value.clone());
+        records.objects.insert((kind, name.into()), row);
+        Ok(self.position(records.revision))
+    }
 }
 
 /// Number of revisions in an era.
@@ -115,19 +164,24 @@
 
     fn get(
         &self,
-        _kind: ObjectKind,
-        _name: &str,
+        kind: ObjectKind,
+        name: &str,
     ) -> BoxFuture<'_, Result<Option<Object>, StoreError>> {
-        Box::pin(async { Ok(None) })
+        let object = self.0.read(kind, name);
+        Box::pin(async { Ok(object) })
     }
 
     fn write(
         &self,
         kind: ObjectKind,
         name: &str,
-        _revision: Option<u64>,
+        revision: Option<u64>,
         value: &Value,
     ) -> BoxFuture<'_, Result<u64, StoreError>> {
+        if matches!(kind, ObjectKind::Leases | ObjectKind::Usage) {
+            let written = self.0.replace(kind, name, revision, value);
+            return Box::pin(async { written });
+        }
         if kind == ObjectKind::Quarantine {
             self.0.written.lock().unwrap().push(Object {
                 name: name.into(),
