Read the whole load header, and add the interfaces of load-aware serving

Servers of some services state as a fourth figure how long work takes at the moment. The adapter dropped it and the number of slots. No decision uses the new fields yet.

--- a/src/core/catalog.rs
+++ b/src/core/catalog.rs
@@ -104,6 +104,8 @@
 pub struct Service {
     /// Requests that one server runs concurrently, if it runs models.
     pub slots: Option<u32>,
+    /// Path of the health check, if servers have one.
+    pub health_path: Option<Name>,
     /// Bounds for automatic scaling, if the operator allows it.
     pub scale: Option<Scale>,
 }
--- a/src/core/route/mod.rs
+++ b/src/core/route/mod.rs
@@ -6,6 +6,7 @@
 
 use std::fmt;
 use std::str::FromStr;
+use std::time::Duration;
 
 use crate::core::Name;
 
@@ -16,6 +17,7 @@
 pub mod removal;
 pub mod scored;
 pub mod servers;
+pub mod speed;
 pub mod subset;
 
 /// The properties of a request that a policy considers.
@@ -31,6 +33,15 @@
     pub session: Option<u64>,
 }
 
+/// Predicted time until a response begins.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Forecast {
+    /// Time from sending the request to the first bytes of its response.
+    pub first: Duration,
+    /// Age of the oldest input.
+    pub age: Duration,
+}
+
 /// A backend server to which the request can be sent.
 #[derive(Clone, Debug)]
 pub struct Candidate {
--- a/src/core/route/servers/mod.rs
+++ b/src/core/route/servers/mod.rs
@@ -78,6 +78,13 @@
     pub running: u32,
     /// Number of waiting requests.
     pub waiting: u32,
+    /// Number of requests that the server runs concurrently, if stated.
+    #[serde(default)]
+    pub slots: Option<u32>,
+    /// Time that work takes at the moment in percent of the usual time, if the server
+    /// states it; 100 means as usual.
+    #[serde(default)]
+    pub work_percent: Option<u32>,
 }
 
 /// A backend server as seen from this node.
@@ -97,6 +104,7 @@
     heard_at: Time,
     silence: Option<Silence>,
     reported_at: Time,
+    last_load: LoadReport,
     mean_reported: f64,
     mean_own: f64,
     request_ms: f64,
@@ -116,6 +124,7 @@
             heard_at: Time::default(),
             silence: None,
             reported_at: Time::default(),
+            last_load: LoadReport::default(),
             mean_reported: 0.0,
             mean_own: 0.0,
             request_ms: 0.0,
@@ -139,6 +148,12 @@
         f64::from(self.own_requests) + others * weight
     }
 
+    /// Returns the last load report and its time, if there is one.
+    pub fn last_load(&self) -> Option<(LoadReport, Time)> {
+        let is_known = self.reported_at != Time::default();
+        is_known.then_some((self.last_load, self.reported_at))
+    }
+
     /// Returns whether the server is to get requests.
     fn is_choosable(&self, evacuated: &Evacuated) -> bool {
         !self.leaving && !evacuated.contains(&self.vm.domain)
@@ -362,6 +377,7 @@
             server.mean_reported += smoothing * (reported - server.mean_reported);
             server.mean_own += smoothing * (own - server.mean_own);
             server.reported_at = now;
+            server.last_load = load;
         }
     }
 
--- a/src/core/route/servers/notice.rs
+++ b/src/core/route/servers/notice.rs
@@ -23,13 +23,15 @@
 /// Maximum number of departures in one message.
 const MAX_NEWS: usize = 256;
 
-/// A statement that can close a server to this node.
+/// A statement of a server that can be ignored as invalid.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Statement {
     /// The server is leaving.
     Leaving,
     /// The server turns requests away for some time.
     TurnedAway,
+    /// How long work takes at the server at the moment.
+    WorkTime,
 }
 
 impl Statement {
@@ -38,6 +40,7 @@
         match self {
             Statement::Leaving => "leaving",
             Statement::TurnedAway => "turned_away",
+            Statement::WorkTime => "work_time",
         }
     }
 }
--- /dev/null
+++ b/src/core/route/speed.rs
@@ -0,0 +1,42 @@
+//! Speeds of backend servers and expected durations, learned from responses.
+
+use std::time::Duration;
+
+use crate::core::time::Time;
+
+/// Sizes of a request on which the time to its response depends.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Work {
+    /// Prompt tokens that are not expected in the server's cache.
+    pub uncached_tokens: f64,
+    /// Tokens of the response.
+    pub output_tokens: f64,
+    /// Requests that were running at the server when the request was sent.
+    pub running: f64,
+    /// Requests that were waiting at the server when the request was sent.
+    pub waiting: f64,
+    /// Time that work took at that moment in percent of the usual, if the server
+    /// stated it.
+    pub work_percent: Option<u32>,
+}
+
+/// How long work takes at one server, relative to the mean of its service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Ratio {
+    /// Time at the server divided by the time at an average server; 1 if unknown.
+    pub value: f64,
+    /// Weight of the responses from which it was learned.
+    pub samples: f64,
+    /// Age of the newest of them.
+    pub age: Duration,
+}
+
+/// What is known of the time that requests take.
+pub trait Estimates {
+    /// Returns the expected time until a response of an average server begins, or `None`
+    /// before enough responses were seen.
+    fn expected_first(&self, service: &str, work: &Work) -> Option<Duration>;
+
+    /// Returns how long work takes at a server.
+    fn ratio(&self, server: &str, now: Time) -> Ratio;
+}
--- a/src/entry/backends/mod.rs
+++ b/src/entry/backends/mod.rs
@@ -5,6 +5,7 @@
 use crate::core::Name;
 use crate::core::fleet::scaling::DomainServers;
 use crate::core::name_map::NameMap;
+use crate::core::route::Forecast;
 use crate::core::route::Policy;
 use crate::core::route::Request as RouteRequest;
 use crate::core::route::affinity::SessionAffinity;
@@ -15,6 +16,7 @@
 use crate::core::route::servers::Vm;
 use crate::core::route::servers::closure::Opening;
 use crate::core::route::servers::notice::Departure;
+use crate::core::route::speed::Work;
 use crate::core::time::Time;
 use crate::entry::Entry;
 use crate::entry::adapter::BackendServer;
@@ -46,6 +48,10 @@
     pub server: BackendServer,
     /// Start of the trial that the attempt is, if the server turned requests away.
     pub trial: Option<Time>,
+    /// Sizes of the request and load of the server when it was chosen.
+    pub work: Work,
+    /// Predicted time until the response begins, if enough is known.
+    pub forecast: Option<Forecast>,
 }
 
 /// The reason why no server can be chosen.
@@ -190,7 +196,13 @@
                 state.servers.spend_rate(&id, now);
                 let trial = state.servers.begin_trial(&id, now);
                 state.servers.begin_probe(&id, now);
-                return Ok(ChosenBackend { id, server, trial });
+                return Ok(ChosenBackend {
+                    id,
+                    server,
+                    trial,
+                    work: Work::default(),
+                    forecast: None,
+                });
             }
         }
         let Criteria {
--- a/src/node/backends/engine.rs
+++ b/src/node/backends/engine.rs
@@ -260,7 +260,11 @@
     let running = number("x-load-running");
     let waiting = number("x-load-waiting");
     if let Some((running, waiting)) = running.zip(waiting) {
-        let load = LoadReport { running, waiting };
+        let load = LoadReport {
+            running,
+            waiting,
+            ..LoadReport::default()
+        };
         let now = node.clock.now();
         let mut servers = node.servers.lock().unwrap();
         servers.record_load(server, load, now);
--- a/src/platform/decode.rs
+++ b/src/platform/decode.rs
@@ -83,6 +83,7 @@
 #[derive(Deserialize)]
 struct WireService {
     name: String,
+    health_path: Option<String>,
     engine: Option<WireEngine>,
     scale: Option<WireScale>,
 }
@@ -193,6 +194,7 @@
 fn service(wire: WireService) -> (Name, Service) {
     let service = Service {
         slots: wire.engine.map(|engine| engine.slots),
+        health_path: wire.health_path.map(Into::into),
         scale: wire.scale.map(|scale| Scale {
             min: scale.min,
             max: scale.max,
--- a/src/platform/protocol.rs
+++ b/src/platform/protocol.rs
@@ -57,8 +57,8 @@
 /// Present if the server did not run the request.
 const NOT_EXECUTED: HeaderName = HeaderName::from_static("x-cassialock-not-executed");
 
-/// Running requests, waiting requests and slots of the server, separated by
-/// commas.
+/// Running requests, waiting requests and slots of the server, separated by commas;
+/// some servers add the time that work takes at the moment, in percent of the usual.
 const SERVER_LOAD: HeaderName = HeaderName::from_static("x-cassialock-server-load");
 
 /// Requests per second that the server takes from all nodes together; absent if it
@@ -113,6 +113,10 @@
 /// Lowest priority that servers accept; 0 is the highest.
 const LOWEST_PRIORITY: u8 = 9;
 
+/// Largest accepted statement of the time that work takes, in percent of the usual: a
+/// server a hundred times slower than usual is of no use anyway.
+const MAX_WORK_PERCENT: u32 = 10_000;
+
 /// Scheme of the `Authorization` header, with the space that follows it.
 const AUTH_SCHEME: &str = "Token ";
 
@@ -158,11 +162,29 @@
     })
 }
 
-fn parse_load(value: &str) -> Option<LoadReport> {
-    let mut numbers = value.split(',').map(|number| number.trim().parse());
+/// Parses a load report; `reject` gets the statement about the time that work takes if
+/// it is not usable.
+fn parse_load(value: &str, reject: impl FnOnce(Name)) -> Option<LoadReport> {
+    let mut numbers = value.split(',').map(str::trim);
+    let mut next = || numbers.next().map(str::parse::<u32>);
+    let (running, waiting) = (next()?.ok()?, next()?.ok()?);
+    let slots = next().and_then(Result::ok).filter(|slots| *slots > 0);
+    let work_percent = match numbers.next() {
+        None => None,
+        Some(text) => {
+            let percent = text.parse().ok();
+            let percent = percent.filter(|percent| (1..=MAX_WORK_PERCENT).contains(percent));
+            if percent.is_none() {
+                reject(text.into());
+            }
+            percent
+        }
+    };
     Some(LoadReport {
-        running: numbers.next()?.ok()?,
-        waiting: numbers.next()?.ok()?,
+        running,
+        waiting,
+        slots,
+        work_percent,
     })
 }
 
@@ -355,8 +377,14 @@
                 },
             );
         }
+        let load = text(headers, &SERVER_LOAD).and_then(|value| {
+            parse_load(value, |value| {
+                let statement = Statement::WorkTime;
+                invalid.push(Ignored { statement, value });
+            })
+        });
         Notice {
-            load: text(headers, &SERVER_LOAD).and_then(parse_load),
+            load,
             rate_limit: number(headers, &SERVER_LIMIT)
                 .filter(|rate: &f64| rate.is_finite() && *rate >= 0.0),
             is_leaving: is_leaving.is_some(),
--- a/src/standin/engine/batch.rs
+++ b/src/standin/engine/batch.rs
@@ -162,6 +162,7 @@
         LoadReport {
             running: self.running.len() as u32,
             waiting: self.waiting.len() as u32,
+            ..LoadReport::default()
         }
     }
 
--- a/tests/decisions/notice.rs
+++ b/tests/decisions/notice.rs
@@ -253,6 +253,7 @@
         load: Some(LoadReport {
             running: 9,
             waiting: 9,
+            ..LoadReport::default()
         }),
         rate_limit: Some(0.1),
         ..leaving()
--- a/tests/decisions/route.rs
+++ b/tests/decisions/route.rs
@@ -221,6 +221,7 @@
     let load = LoadReport {
         running: 6,
         waiting: 2,
+        ..LoadReport::default()
     };
     servers.record_load("a", load, now);
     servers.begin_request("a", &[]);
