Place requests by predicted time, with probes of the load

The policy counted requests in flight equally and knew loads that were seconds old, so sessions stayed pinned to slow servers. Services whose servers state how long work takes are now placed by predicted time among four candidates, which are probed before.

--- a/src/core/route/servers/mod.rs
+++ b/src/core/route/servers/mod.rs
@@ -24,6 +24,7 @@
 pub mod limit;
 pub mod notice;
 pub mod silence;
+pub mod standing;
 
 /// Age at which the weight of a load report has halved, in milliseconds.
 const REPORT_HALF_LIFE_MS: f64 = 500.0;
--- a/src/core/route/servers/notice.rs
+++ b/src/core/route/servers/notice.rs
@@ -201,7 +201,7 @@
 
     /// Records that a server announced at `at` that it leaves, and returns whether it was
     /// not known to leave.
-    fn announce_leaving(&mut self, id: &str, at: Time, now: Time) -> bool {
+    pub(super) fn announce_leaving(&mut self, id: &str, at: Time, now: Time) -> bool {
         let Some((name, _)) = self.by_id.get_key_value(id) else {
             return false;
         };
--- a/src/core/route/speed.rs
+++ b/src/core/route/speed.rs
@@ -40,3 +40,21 @@
     /// Returns how long work takes at a server.
     fn ratio(&self, server: &str, now: Time) -> Ratio;
 }
+
+/// Estimates of a node that has learned nothing.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Unlearned;
+
+impl Estimates for Unlearned {
+    fn expected_first(&self, _service: &str, _work: &Work) -> Option<Duration> {
+        None
+    }
+
+    fn ratio(&self, _server: &str, _now: Time) -> Ratio {
+        Ratio {
+            value: 1.0,
+            samples: 0.0,
+            age: Duration::ZERO,
+        }
+    }
+}
--- a/src/entry/adapter.rs
+++ b/src/entry/adapter.rs
@@ -47,6 +47,9 @@
     /// Returns what a server states about itself in the head of a response.
     fn read_notice(&self, status: StatusCode, headers: &HeaderMap) -> Notice;
 
+    /// Returns the name that a server states in its answer to a health check.
+    fn server_id<'a>(&self, headers: &'a HeaderMap) -> Option<&'a str>;
+
     /// Removes the hop-by-hop headers of a backend server's response.
     fn strip_response(&self, headers: &mut HeaderMap);
 
--- a/src/entry/backends/in_flight.rs
+++ b/src/entry/backends/in_flight.rs
@@ -4,10 +4,13 @@
 use std::time::Duration;
 
 use crate::core::Name;
+use crate::core::route::Forecast;
 use crate::core::route::servers::notice::Change;
 use crate::core::route::servers::notice::Notice;
+use crate::core::route::servers::notice::Origin;
 use crate::core::route::servers::notice::Receipt;
 use crate::core::route::servers::silence::Suspicion;
+use crate::core::route::speed::Work;
 use crate::core::time::Time;
 use crate::entry::Entry;
 use crate::entry::backends::ChosenBackend;
@@ -18,6 +21,9 @@
     id: Name,
     sent: Time,
     trial: Option<Time>,
+    service: Name,
+    work: Work,
+    forecast: Option<Forecast>,
 }
 
 impl InFlight {
@@ -31,6 +37,9 @@
             id: chosen.id.clone(),
             sent: entry.clock.now(),
             trial: chosen.trial,
+            service: chosen.server.service.clone(),
+            work: chosen.work,
+            forecast: chosen.forecast,
         }
     }
 
@@ -44,6 +53,7 @@
         state
             .servers
             .record_success(&self.id, Duration::from_secs_f64(ratio / 10.0));
+        state.record_first(&self.service, &self.work, self.forecast, latency);
     }
 
     /// Records that the server failed.
@@ -83,6 +93,13 @@
         {
             server.is_leaving = true;
         }
+        let load = notice.load.as_ref();
+        let load = load.filter(|_| receipt.origin == Origin::Own && !notice.is_misdirected);
+        let policy = load.and_then(|load| state.record_load(&self.id, load));
+        drop(state);
+        if let Some(policy) = policy {
+            policy.write(&self.entry);
+        }
         changes
     }
 
--- a/src/entry/backends/mod.rs
+++ b/src/entry/backends/mod.rs
@@ -9,6 +9,8 @@
 use crate::core::route::Policy;
 use crate::core::route::Request as RouteRequest;
 use crate::core::route::affinity::SessionAffinity;
+use crate::core::route::placement::Placement;
+use crate::core::route::placement::Prompt;
 use crate::core::route::removal::RemovalFilter;
 use crate::core::route::servers::Class;
 use crate::core::route::servers::Filter;
@@ -16,6 +18,7 @@
 use crate::core::route::servers::Vm;
 use crate::core::route::servers::closure::Opening;
 use crate::core::route::servers::notice::Departure;
+use crate::core::route::speed::Unlearned;
 use crate::core::route::speed::Work;
 use crate::core::time::Time;
 use crate::entry::Entry;
@@ -23,6 +26,7 @@
 use crate::telemetry::events::Event;
 
 pub mod in_flight;
+pub mod placing;
 
 /// Slots assumed per server of a service that has no servers.
 const DEFAULT_SLOTS: u32 = 8;
@@ -36,6 +40,8 @@
     registered: NameMap<BackendServer>,
     servers: Servers,
     policy: SessionAffinity,
+    placement: Placement,
+    estimates: Unlearned,
     removal_filter: RemovalFilter,
 }
 
@@ -78,6 +84,8 @@
     pub has_fallback: bool,
     /// Random number for tie-breaking.
     pub random: u64,
+    /// Properties of the request, if it may be placed by predicted time.
+    pub prompt: Option<Prompt<'a>>,
 }
 
 impl Backends {
@@ -88,6 +96,8 @@
                 registered: NameMap::new(),
                 servers: Servers::new(node.clone(), domain.clone()),
                 policy: SessionAffinity::new(),
+                placement: Placement::new(),
+                estimates: Unlearned,
                 removal_filter: RemovalFilter::new(),
             }),
         }
@@ -174,13 +184,22 @@
     /// Returns the reason if there is no server that accepts a request.
     pub fn choose(&self, criteria: &Criteria<'_>, now: Time) -> Result<ChosenBackend, Unavailable> {
         let mut state = self.state.lock().unwrap();
-        let slots = state.slots(criteria.service);
         let request = RouteRequest {
             session: criteria.session,
             ..RouteRequest::default()
         };
         let choices: &[&[Name]] = &[criteria.avoid, &[]];
+        let mut slots = None;
         for avoid in &choices[..1 + usize::from(criteria.has_fallback)] {
+            if let Some(placed) = state.place(criteria, avoid, now) {
+                let chosen = state.take(placed.id, now)?;
+                return Ok(ChosenBackend {
+                    work: placed.work,
+                    forecast: placed.forecast,
+                    ..chosen
+                });
+            }
+            let slots = *slots.get_or_insert_with(|| state.slots(criteria.service));
             let filter = Filter {
                 service: criteria.service,
                 version: criteria.version,
@@ -190,19 +209,7 @@
             };
             let candidates = state.servers.candidates(&filter, &request, now);
             if let Some(at) = state.policy.choose(&request, &candidates, criteria.random) {
-                let id = candidates[at].id.clone();
-                let server = state.registered.get(&id).cloned();
-                let server = server.ok_or(Unavailable::NoServer)?;
-                state.servers.spend_rate(&id, now);
-                let trial = state.servers.begin_trial(&id, now);
-                state.servers.begin_probe(&id, now);
-                return Ok(ChosenBackend {
-                    id,
-                    server,
-                    trial,
-                    work: Work::default(),
-                    forecast: None,
-                });
+                return state.take(candidates[at].id.clone(), now);
             }
         }
         let Criteria {
@@ -365,6 +372,22 @@
 }
 
 impl State {
+    /// Counts a request to a server against its limits.
+    fn take(&mut self, id: Name, now: Time) -> Result<ChosenBackend, Unavailable> {
+        let server = self.registered.get(&id).cloned();
+        let server = server.ok_or(Unavailable::NoServer)?;
+        self.servers.spend_rate(&id, now);
+        let trial = self.servers.begin_trial(&id, now);
+        self.servers.begin_probe(&id, now);
+        Ok(ChosenBackend {
+            id,
+            server,
+            trial,
+            work: Work::default(),
+            forecast: None,
+        })
+    }
+
     /// Returns the id of a server's incarnation.
     ///
     /// A server that restarts keeps its name but loses its state, so it counts as
@@ -436,6 +459,7 @@
                 leaving: server.is_leaving,
             })
             .collect();
+        self.placement.update(&vms);
         self.servers.update(&vms);
     }
 
--- a/src/entry/call/attempt.rs
+++ b/src/entry/call/attempt.rs
@@ -37,7 +37,8 @@
 /// Timeout for opening a connection to a server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Multiple of the route's target latency after which a silent server is suspected.
+/// Multiple of the route's target latency, or of the predicted time if that is longer,
+/// after which a silent server is suspected.
 const SILENCE_FACTOR: u32 = 3;
 
 /// Shortest silence after which a server is suspected.
@@ -116,6 +117,7 @@
     ///
     /// Returns an error if there is no server to try or the attempt failed.
     pub async fn attempt(&mut self) -> Result<ServerResponse, AttemptError> {
+        self.refresh_load().await;
         let server = self.choose(Scope::All).map_err(AttemptError::Unavailable)?;
         let sent = self.start(server).await.map_err(AttemptError::Failed)?;
         self.wait_head(sent).await.map_err(AttemptError::Failed)
@@ -158,7 +160,7 @@
     /// Returns the cause if the attempt failed.
     pub async fn wait_head(&mut self, mut sent: Sent) -> Result<ServerResponse, Cause> {
         loop {
-            let (limit, left) = (self.silence_limit(), self.time_left());
+            let (limit, left) = (self.silence_limit(&sent.attempt), self.time_left());
             let waiting = tokio::time::timeout(limit.min(left), &mut sent.head);
             match waiting.await {
                 Ok(head) => return self.receive(sent.attempt, head),
@@ -338,9 +340,14 @@
         });
     }
 
-    /// Returns the length of silence after which a server is suspected.
-    pub fn silence_limit(&self) -> Duration {
-        (self.route.target_latency * SILENCE_FACTOR).max(MIN_SILENCE)
+    /// Returns the length of silence after which the server of an attempt is suspected.
+    ///
+    /// A server that is predicted to be slow is not taken for a silent one.
+    pub fn silence_limit(&self, attempt: &Attempt) -> Duration {
+        let forecast = attempt.server.forecast;
+        let predicted = forecast.map_or(Duration::ZERO, |forecast| forecast.first);
+        let usual = self.route.target_latency.max(predicted);
+        (usual * SILENCE_FACTOR).max(MIN_SILENCE)
     }
 
     fn build_request(&self, server: &ChosenBackend) -> Option<Request<Full<Bytes>>> {
--- a/src/entry/call/forward.rs
+++ b/src/entry/call/forward.rs
@@ -17,6 +17,7 @@
 use crate::entry::backends::ChosenBackend;
 use crate::entry::call;
 use crate::entry::call::Call;
+use crate::entry::call::attempt::Attempt;
 use crate::entry::call::attempt::Sent;
 use crate::entry::call::attempt::ServerResponse;
 use crate::entry::call::delivery::Started;
@@ -223,7 +224,7 @@
             let first = std::mem::take(&mut upstream.first);
             return Ok(Some(Some(Ok(Frame::data(first)))));
         }
-        let limit = stall_limit(&self.call, self.has_data);
+        let limit = stall_limit(&self.call, &upstream.attempt, self.has_data);
         let left = self.call.time_left();
         // A timeout does not end while each frame is there when it is asked for. Other
         // answers have a length, and their callers may read them slowly.
@@ -408,9 +409,9 @@
 }
 
 /// Returns the length of silence after which a stream counts as stalled.
-fn stall_limit(call: &Call, has_data: bool) -> Duration {
+fn stall_limit(call: &Call, attempt: &Attempt, has_data: bool) -> Duration {
     match call.route.max_gap {
         Some(gap) if has_data => (gap * STALL_FACTOR).max(MIN_STALL),
-        _ => call.silence_limit(),
+        _ => call.silence_limit(attempt),
     }
 }
--- a/src/entry/call/mod.rs
+++ b/src/entry/call/mod.rs
@@ -21,6 +21,7 @@
 use crate::core::retry::AttemptCounts;
 use crate::core::retry::Cause;
 use crate::core::retry::Decision;
+use crate::core::route::placement::Prompt;
 use crate::core::time::Time;
 use crate::core::verdict::Verdict;
 use crate::entry::Entry;
@@ -34,6 +35,8 @@
 use crate::entry::call::prepare::prepare;
 use crate::entry::evacuations;
 use crate::entry::moves::Moves;
+use crate::entry::moves::VersionChoice;
+use crate::entry::probes;
 use crate::entry::quarantine;
 use crate::telemetry::events::Event;
 use crate::web;
@@ -261,20 +264,8 @@
         has_fallback: bool,
     ) -> Result<ChosenBackend, Unavailable> {
         let now = self.entry.clock.now();
-        let versions = self.entry.backends.versions(&self.service);
-        let preferred =
-            Moves::choose_version(&self.entry, &self.service, &versions, self.draw, now);
-        let criteria = Criteria {
-            service: &self.service,
-            version: preferred.version.as_deref(),
-            session: match preferred.trial_sessions {
-                Some(count) => Some((self.draw >> TRIAL_DRAW_BITS) % count),
-                None => self.request.session_key(),
-            },
-            avoid,
-            has_fallback,
-            random: self.entry.random_u64(),
-        };
+        let preferred = self.prefer_version(now);
+        let criteria = self.criteria(&preferred, avoid, has_fallback);
         let chosen = self.entry.backends.choose(&criteria, now);
         let fallback = preferred.fallback.as_deref();
         match (chosen, fallback) {
@@ -283,6 +274,7 @@
                 let criteria = Criteria {
                     version: Some(version),
                     session: self.request.session_key(),
+                    prompt: Some(self.prompt()),
                     ..criteria
                 };
                 let other = self.entry.backends.choose(&criteria, now);
@@ -292,6 +284,49 @@
         }
     }
 
+    /// Asks candidates for the request for their load, if that is worth the time.
+    async fn refresh_load(&self) {
+        let preferred = self.prefer_version(self.entry.clock.now());
+        let criteria = self.criteria(&preferred, &self.tried, true);
+        probes::refresh(&self.entry, &criteria).await;
+    }
+
+    fn prefer_version(&self, now: Time) -> VersionChoice {
+        let versions = || self.entry.backends.versions(&self.service);
+        Moves::choose_version(&self.entry, &self.service, versions, self.draw, now)
+    }
+
+    /// Returns the criteria by which a server is chosen.
+    fn criteria<'a>(
+        &'a self,
+        preferred: &'a VersionChoice,
+        avoid: &'a [Name],
+        has_fallback: bool,
+    ) -> Criteria<'a> {
+        // The sessions of a trial are spread over a limited number of servers.
+        let is_spread = preferred.trial_sessions.is_none();
+        Criteria {
+            service: &self.service,
+            version: preferred.version.as_deref(),
+            session: match preferred.trial_sessions {
+                Some(count) => Some((self.draw >> TRIAL_DRAW_BITS) % count),
+                None => self.request.session_key(),
+            },
+            avoid,
+            has_fallback,
+            random: self.entry.random_u64(),
+            prompt: is_spread.then(|| self.prompt()),
+        }
+    }
+
+    /// Returns what the placement by predicted time depends on.
+    fn prompt(&self) -> Prompt<'_> {
+        Prompt::new(
+            &self.request,
+            self.draw.rotate_left(self.tried.len() as u32),
+        )
+    }
+
     /// Decides whether to retry after a failed attempt.
     ///
     /// Returns the refusal to send if the request is not retried.
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -60,6 +60,7 @@
 pub mod membership;
 pub mod moves;
 pub mod notices;
+pub mod probes;
 pub mod quarantine;
 pub mod relay;
 pub mod service_load;
--- a/src/entry/moves/mod.rs
+++ b/src/entry/moves/mod.rs
@@ -139,12 +139,12 @@
 
     /// Chooses the version that serves a request to `service`.
     ///
-    /// `versions` are the versions of the service's servers; `random` is a uniform
+    /// `versions` returns the versions of the service's servers; `random` is a uniform
     /// random number.
     pub fn choose_version(
         entry: &Entry,
         service: &str,
-        versions: &[Name],
+        versions: impl FnOnce() -> Vec<Name>,
         random: u64,
         now: Time,
     ) -> VersionChoice {
@@ -152,6 +152,7 @@
         let Some(canary) = canaries.get(service) else {
             return VersionChoice::default();
         };
+        let versions = versions();
         let old = versions.iter().find(|version| **version != canary.target);
         let has_new = versions.contains(&canary.target);
         let Some(old) = old.filter(|_| has_new) else {
--- a/src/entry/notices.rs
+++ b/src/entry/notices.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use crate::core::Name;
 use crate::core::route::servers::closure::Closure;
 use crate::core::route::servers::closure::MAX_CLOSURE;
 use crate::core::route::servers::limit::LimitEnd;
@@ -13,9 +14,11 @@
 use crate::core::route::servers::notice::Receipt;
 use crate::core::route::servers::notice::Statement;
 use crate::entry::Entry;
+use crate::entry::adapter::BackendServer;
 use crate::entry::adapter::ResponseInfo;
 use crate::entry::backends::ChosenBackend;
 use crate::entry::backends::in_flight::InFlight;
+use crate::entry::backends::placing::ProbeChanges;
 use crate::telemetry::events::Event;
 
 /// Records what a server states in its answer to `request`.
@@ -134,6 +137,37 @@
     }
 }
 
+/// Acts on what a server states in its answer to a probe.
+///
+/// Statements that are not acted on are only counted, since probes are frequent.
+pub fn report_probe(entry: &Entry, id: &Name, server: &BackendServer, recorded: ProbeChanges) {
+    if let Some(policy) = &recorded.policy {
+        policy.write(entry);
+    }
+    for change in recorded.changes {
+        match change {
+            Change::RateLimit(limit) => entry.events.write(
+                Event::new("backend_limit")
+                    .with("backend", &**id)
+                    .with("limit_per_s", limit),
+            ),
+            Change::Leaving => {
+                entry.pool.close(server.address);
+                count_closure(Statement::Leaving);
+                entry.events.write(
+                    Event::new("backend_closed")
+                        .with("backend", &**id)
+                        .with("cause", Statement::Leaving.as_str())
+                        .with("source", "probe"),
+                );
+            }
+            Change::Ignored(ignored) => count_ignored(&ignored),
+            // A probe neither closes nor opens a server.
+            Change::Closed(_) | Change::Opened(_) => {}
+        }
+    }
+}
+
 /// Returns an event about a server that turns, or turned, requests away.
 fn closure_event(name: &'static str, server: &ChosenBackend, closure: &Closure) -> Event {
     Event::new(name)
@@ -148,9 +182,14 @@
     metrics::counter!("cassialock_backend_closures_total", "cause" => cause.as_str()).increment(1);
 }
 
-fn record_ignored(entry: &Entry, request: &str, backend: &str, ignored: &Ignored) {
+fn count_ignored(ignored: &Ignored) {
     let statement = ignored.statement.as_str();
     metrics::counter!("cassialock_ignored_statements_total", "statement" => statement).increment(1);
+}
+
+fn record_ignored(entry: &Entry, request: &str, backend: &str, ignored: &Ignored) {
+    let statement = ignored.statement.as_str();
+    count_ignored(ignored);
     entry.events.write(
         Event::for_request("statement_ignored", request)
             .with("backend", backend)
--- a/src/platform/protocol.rs
+++ b/src/platform/protocol.rs
@@ -61,6 +61,9 @@
 /// some servers add the time that work takes at the moment, in percent of the usual.
 const SERVER_LOAD: HeaderName = HeaderName::from_static("x-cassialock-server-load");
 
+/// Name of the server instance that answers a health check.
+const INSTANCE_ID: HeaderName = HeaderName::from_static("x-cassialock-instance-id");
+
 /// Requests per second that the server takes from all nodes together; absent if it
 /// does not limit them.
 const SERVER_LIMIT: HeaderName = HeaderName::from_static("server-limit");
@@ -394,6 +397,10 @@
         }
     }
 
+    fn server_id<'a>(&self, headers: &'a HeaderMap) -> Option<&'a str> {
+        text(headers, &INSTANCE_ID).map(str::trim)
+    }
+
     fn strip_response(&self, headers: &mut HeaderMap) {
         strip_hop_by_hop(headers);
     }
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -20,6 +20,7 @@
 mod notice;
 mod once;
 mod pacing;
+mod placement;
 mod quarantine;
 mod quota;
 mod quota_fleet;
--- /dev/null
+++ b/tests/decisions/placement/fleet.rs
@@ -0,0 +1,435 @@
+//! A simulated fleet of uneven servers and the entries in front of it.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::fmt;
+use std::time::Duration;
+
+use cassialock::core::Name;
+use cassialock::core::request::PromptPart;
+use cassialock::core::request::RequestInfo;
+use cassialock::core::request::TokenCounts;
+use cassialock::core::route::Policy;
+use cassialock::core::route::PolicyKind;
+use cassialock::core::route::Request;
+use cassialock::core::route::affinity::SessionAffinity;
+use cassialock::core::route::placement::Placement;
+use cassialock::core::route::placement::Prompt;
+use cassialock::core::route::probing::ProbeOutcome;
+use cassialock::core::route::servers::Class;
+use cassialock::core::route::servers::Filter;
+use cassialock::core::route::servers::LoadReport;
+use cassialock::core::route::servers::Servers;
+use cassialock::core::route::servers::Vm;
+use cassialock::core::route::servers::notice::Notice;
+use cassialock::core::route::speed::Estimates;
+use cassialock::core::route::speed::Ratio;
+use cassialock::core::route::speed::Unlearned;
+use cassialock::core::route::speed::Work;
+use cassialock::core::time::Time;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+const SERVERS: usize = 140;
+const SLOTS: usize = 16;
+
+/// Prompt tokens that a server processes in a millisecond, and its time for a step.
+const TOKENS_PER_MS: f64 = 38.4;
+const STEP_MS: f64 = 5.2;
+
+/// Length of a period in which a server is as slow, and how slow in how many of them.
+const PERIOD_MS: f64 = 600.0;
+const SLOW: (f64, f64) = (0.15, 2.5);
+
+/// Prompt tokens that a server holds.
+const CACHE_TOKENS: u32 = 120_000;
+
+/// Time of a probe.
+const PROBE_MS: f64 = 1.0;
+
+/// A kind of requests: prompt tokens, shared ones, output tokens, rate, objective in
+/// milliseconds, number of sessions.
+const KINDS: [(u32, u32, u32, f64, f64, u64); 3] = [
+    (9_190, 6_300, 50, 225.0, 1_000.0, 300),
+    (2_368, 568, 25, 267.0, 800.0, 100),
+    (715, 172, 280, 103.0, 800.0, 50),
+];
+
+/// Who places the requests.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Kind {
+    RoundRobin,
+    LeastLoaded,
+    Affinity,
+    /// By predicted time, with nothing learned of the speeds of servers.
+    Predicted,
+    /// By predicted time, with the speeds known.
+    Learned,
+    /// A scheduler that knows everything.
+    Central,
+}
+
+/// The result of a simulation.
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    /// Share of requests that began within their objective.
+    pub in_time: f64,
+    /// Shared prompt tokens that were processed again, as a part of all of them.
+    pub again_share: f64,
+    /// Probes for each request.
+    pub probes: f64,
+    times: Vec<f64>,
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let at = |part: f64| self.times[(self.times.len() as f64 * part) as usize];
+        write!(
+            f,
+            "p50 {:.0} p90 {:.0} p99 {:.0} ms, in time {:.4}, again {:.3}, probes {:.2}",
+            at(0.5),
+            at(0.9),
+            at(0.99),
+            self.in_time,
+            self.again_share,
+            self.probes
+        )
+    }
+}
+
+/// The speeds of the servers, as an entry would learn them.
+struct Known(Vec<(Name, f64)>);
+
+impl Estimates for Known {
+    fn expected_first(&self, _service: &str, work: &Work) -> Option<Duration> {
+        let tokens = work.uncached_tokens + work.waiting * 2_500.0 + work.running * 50.0;
+        let ms = tokens / TOKENS_PER_MS + STEP_MS;
+        Some(Duration::from_secs_f64(ms / 1_000.0))
+    }
+
+    fn ratio(&self, server: &str, _now: Time) -> Ratio {
+        let index = self.0.binary_search_by(|row| (*row.0).cmp(server)).unwrap();
+        Ratio {
+            value: self.0[index].1,
+            samples: 10.0,
+            age: Duration::ZERO,
+        }
+    }
+}
+
+struct Server {
+    speed: f64,
+    /// Whether the server is slow in each period, and where the periods begin.
+    slow: Vec<bool>,
+    phase: f64,
+    busy_until: f64,
+    /// Begin and end of the requests that have not ended.
+    requests: Vec<(f64, f64)>,
+    /// Parts held, the oldest first.
+    cache: Vec<PromptPart>,
+}
+
+impl Server {
+    fn factor(&self, now: f64) -> f64 {
+        let is_slow = self.slow[((now + self.phase) / PERIOD_MS) as usize];
+        if is_slow { SLOW.1 } else { 1.0 }
+    }
+
+    fn missing(&self, parts: &[PromptPart]) -> u32 {
+        let held = parts.iter().take_while(|part| self.cache.contains(part));
+        let total: u32 = parts.iter().map(|part| part.tokens).sum();
+        total - held.map(|part| part.tokens).sum::<u32>()
+    }
+
+    /// Returns when a request would begin to be processed, and when to be answered.
+    fn times(&self, info: &RequestInfo, now: f64) -> (f64, f64) {
+        let open = self.requests.iter().filter(|row| row.1 > now);
+        let mut ends: Vec<f64> = open.map(|row| row.1).collect();
+        ends.sort_by(f64::total_cmp);
+        let over = (ends.len() + 1).checked_sub(SLOTS + 1);
+        let slot = over.map_or(now, |index| ends[index]);
+        let begin = slot.max(self.busy_until).max(now);
+        let pace = self.speed * self.factor(begin);
+        let tokens = f64::from(self.missing(&info.parts));
+        (begin, begin + (tokens / TOKENS_PER_MS + STEP_MS) * pace)
+    }
+
+    /// Runs a request, and returns when it is answered and when it ends.
+    fn run(&mut self, info: &RequestInfo, now: f64) -> (f64, f64) {
+        self.requests.retain(|row| row.1 > now);
+        let (begin, first) = self.times(info, now);
+        let pace = self.speed * self.factor(begin);
+        self.busy_until = first;
+        let output = f64::from(info.tokens.unwrap().max_output);
+        let end = first + output * STEP_MS * pace;
+        self.requests.push((begin, end));
+        for part in info.shared_parts() {
+            self.cache.retain(|held| held != part);
+            self.cache.push(*part);
+        }
+        while self.cache.iter().map(|part| part.tokens).sum::<u32>() > CACHE_TOKENS {
+            self.cache.remove(0);
+        }
+        (first, end)
+    }
+
+    fn load(&self, now: f64) -> LoadReport {
+        let open = || self.requests.iter().filter(|row| row.1 > now);
+        let waiting = open().filter(|row| row.0 > now).count();
+        LoadReport {
+            running: (open().count() - waiting) as u32,
+            waiting: waiting as u32,
+            slots: Some(SLOTS as u32),
+            work_percent: Some((self.factor(now) * 100.0) as u32),
+        }
+    }
+}
+
+struct Entry {
+    servers: Servers,
+    placement: Placement,
+    policy: Box<dyn Policy>,
+}
+
+/// What happens later: a response begins or a request ends.
+struct Later {
+    entry: usize,
+    server: usize,
+    id: Name,
+    work: Work,
+    sent: Time,
+    is_end: bool,
+}
+
+/// A fleet with its entries.
+pub struct Fleet {
+    kind: Kind,
+    rng: SmallRng,
+    names: Vec<Name>,
+    servers: Vec<Server>,
+    entries: Vec<Entry>,
+    known: Known,
+    later: BinaryHeap<Reverse<(u64, usize)>>,
+    events: Vec<Option<Later>>,
+}
+
+fn time(ms: f64) -> Time {
+    Time(1_000_000_000 + (ms * 1_000.0) as u64)
+}
+
+impl Fleet {
+    pub fn new(kind: Kind, entries: usize, seed: u64) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let names: Vec<Name> = (0..SERVERS)
+            .map(|at| format!("s{at:03}/1").into())
+            .collect();
+        let servers: Vec<Server> = (0..SERVERS)
+            .map(|_| Server {
+                speed: rng.random_range(0.6..1.6),
+                slow: (0..200).map(|_| rng.random::<f64>() < SLOW.0).collect(),
+                phase: rng.random_range(0.0..PERIOD_MS),
+                busy_until: 0.0,
+                requests: Vec::new(),
+                cache: Vec::new(),
+            })
+            .collect();
+        let list: Vec<Vm> = names
+            .iter()
+            .enumerate()
+            .map(|(at, id)| Vm {
+                id: id.clone(),
+                service: "m".into(),
+                version: "v1".into(),
+                address: "a".into(),
+                domain: format!("d{}", at % 3).into(),
+                class: Class::Reclaimable,
+                leaving: false,
+            })
+            .collect();
+        let entry = |at: usize| {
+            let node = format!("n{at}").into();
+            let mut entry = Entry {
+                servers: Servers::new(node, format!("d{}", at % 3).into()),
+                placement: Placement::new(),
+                policy: match kind {
+                    Kind::RoundRobin => PolicyKind::RoundRobin.build(),
+                    Kind::LeastLoaded => PolicyKind::LeastLoaded.build(),
+                    _ => Box::new(SessionAffinity::new()),
+                },
+            };
+            entry.servers.update(&list);
+            entry.placement.update(&list);
+            entry
+        };
+        let speeds = servers.iter().map(|server| server.speed);
+        Self {
+            kind,
+            known: Known(names.iter().cloned().zip(speeds).collect()),
+            entries: (0..entries).map(entry).collect(),
+            rng,
+            names,
+            servers,
+            later: BinaryHeap::new(),
+            events: Vec::new(),
+        }
+    }
+
+    /// Returns a request of a kind.
+    fn request(&mut self, kind: usize) -> RequestInfo {
+        let (prompt, shared, output, _, _, sessions) = KINDS[kind];
+        let base = kind as u64 * 1_000_000;
+        let session = base + 1 + self.rng.random_range(0..sessions);
+        let part = |id, tokens| PromptPart { id, tokens };
+        let unique = (1 << 40) | self.rng.random_range(0..1_u64 << 39);
+        RequestInfo {
+            parts: vec![
+                part(base, shared / 4),
+                part(session, shared - shared / 4),
+                part(unique, prompt - shared),
+            ],
+            tokens: Some(TokenCounts {
+                prompt,
+                max_output: output,
+            }),
+            ..RequestInfo::default()
+        }
+    }
+
+    /// Places a request; returns the server, the expected work and the number of probes.
+    fn place(&mut self, at: usize, info: &RequestInfo, now: f64) -> (usize, Work, usize) {
+        let random = self.rng.random();
+        if self.kind == Kind::Central {
+            let first = |at: &usize| self.servers[*at].times(info, now).1;
+            let best = (0..SERVERS).min_by(|a, b| first(a).total_cmp(&first(b)));
+            return (best.unwrap(), Work::default(), 0);
+        }
+        let entry = &mut self.entries[at];
+        let filter = Filter {
+            service: "m",
+            version: None,
+            slots: SLOTS as u32,
+            excluded: &[],
+            exclude_suspected: false,
+        };
+        let is_learned = self.kind == Kind::Learned;
+        let is_predicted = is_learned || self.kind == Kind::Predicted;
+        let index = |id: &Name| self.names.binary_search(id).unwrap();
+        if !is_predicted || !entry.placement.is_active("m") {
+            let request = Request {
+                session: info.session_key(),
+                ..Request::default()
+            };
+            let candidates = entry.servers.candidates(&filter, &request, time(now));
+            let chosen = entry.policy.choose(&request, &candidates, random).unwrap();
+            return (index(&candidates[chosen].id), Work::default(), 0);
+        }
+        let estimates: &dyn Estimates = if is_learned { &self.known } else { &Unlearned };
+        let prompt = Prompt::new(info, random);
+        let probed =
+            entry
+                .placement
+                .to_probe(&entry.servers, estimates, &filter, &prompt, time(now));
+        let answered = now + PROBE_MS;
+        for id in &probed {
+            let load = self.servers[index(id)].load(now + PROBE_MS / 2.0);
+            let notice = Notice {
+                load: Some(load),
+                ..Notice::default()
+            };
+            let (sent, now) = (time(now), time(answered));
+            entry
+                .servers
+                .record_probe_notice(id, &notice, sent, 0.0, now);
+            let took = Duration::from_secs_f64(PROBE_MS / 1_000.0);
+            let outcome = ProbeOutcome::Answered;
+            entry.placement.probing.record(id, outcome, took, now);
+            entry.placement.record_load(&"m".into(), &load);
+        }
+        let placed =
+            entry
+                .placement
+                .choose(&entry.servers, estimates, &filter, &prompt, time(answered));
+        let placed = placed.unwrap();
+        (index(&placed.id), placed.work, probed.len())
+    }
+
+    fn push(&mut self, at_ms: f64, later: Later) {
+        self.later.push(Reverse((time(at_ms).0, self.events.len())));
+        self.events.push(Some(later));
+    }
+
+    fn handle(&mut self, at: Time, later: Later) {
+        let entry = &mut self.entries[later.entry];
+        if later.is_end {
+            entry.servers.end_request(&later.id);
+            return;
+        }
+        let now = (at.0 - time(0.0).0) as f64 / 1_000.0;
+        let load = self.servers[later.server].load(now);
+        let took = at.since(later.sent);
+        entry.servers.record_success(&later.id, took / 10);
+        entry.servers.record_load(&later.id, load, at);
+        entry.placement.record_load(&"m".into(), &load);
+        entry.placement.record_first("m", &later.work, took);
+    }
+
+    /// Runs the fleet for some seconds, the first of which are not judged.
+    pub fn run(mut self, (span_s, warm_s): (f64, f64)) -> Report {
+        let total: f64 = KINDS.iter().map(|kind| kind.3).sum();
+        let mut report = Report::default();
+        let (mut now, mut in_time, mut probes) = (0.0, 0, 0);
+        let (mut again, mut shared) = (0, 0);
+        while now < span_s * 1_000.0 {
+            now -= (1.0 - self.rng.random::<f64>()).ln() / total * 1_000.0;
+            while let Some(Reverse((at, index))) = self.later.peek().copied() {
+                if at > time(now).0 {
+                    break;
+                }
+                self.later.pop();
+                let later = self.events[index].take().unwrap();
+                self.handle(Time(at), later);
+            }
+            let mut draw = self.rng.random::<f64>() * total;
+            let is_kind = |kind: &(u32, u32, u32, f64, f64, u64)| {
+                draw -= kind.3;
+                draw < 0.0
+            };
+            let kind = KINDS.iter().position(is_kind).unwrap_or_default();
+            let info = self.request(kind);
+            let entry = self.rng.random_range(0..self.entries.len());
+            let (at, work, probed) = self.place(entry, &info, now);
+            let server = &mut self.servers[at];
+            let missing = server.missing(info.shared_parts());
+            let sent = if probed > 0 { now + PROBE_MS } else { now };
+            let (first, end) = server.run(&info, sent);
+            let id = self.names[at].clone();
+            self.entries[entry].servers.begin_request(&id, &[]);
+            for (at_ms, is_end) in [(first, false), (end, true)] {
+                let later = Later {
+                    entry,
+                    server: at,
+                    id: id.clone(),
+                    work,
+                    sent: time(sent),
+                    is_end,
+                };
+                self.push(at_ms, later);
+            }
+            if now < warm_s * 1_000.0 {
+                continue;
+            }
+            report.times.push(first - now);
+            in_time += usize::from(first - now <= KINDS[kind].4);
+            probes += probed;
+            again += missing;
+            shared += KINDS[kind].1;
+        }
+        report.times.sort_by(f64::total_cmp);
+        let count = report.times.len() as f64;
+        report.in_time = in_time as f64 / count;
+        report.probes = probes as f64 / count;
+        report.again_share = f64::from(again) / f64::from(shared);
+        report
+    }
+}
--- a/tests/entry/aggregation.rs
+++ b/tests/entry/aggregation.rs
@@ -179,6 +179,7 @@
         avoid: &[],
         has_fallback: false,
         random: 0,
+        prompt: None,
     };
     let chosen = entry.backends.choose(&criteria, entry.clock.now()).unwrap();
     let in_flight = InFlight::new(entry, &chosen);
--- a/tests/entry/harness.rs
+++ b/tests/entry/harness.rs
@@ -433,6 +433,7 @@
             avoid: &others,
             has_fallback: false,
             random: 0,
+            prompt: None,
         };
         let now = self.entry.clock.now();
         let chosen = self.entry.backends.choose(&criteria, now).unwrap();
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -19,6 +19,7 @@
 mod misplaced;
 mod overdue;
 mod paused;
+mod probed;
 mod promises;
 mod refused;
 mod relay;
