Probe the best candidate first, and others only if they can be better

Now the best candidate is probed, and then only those whose cost would be lower by a fifth if they were idle.

--- a/src/core/route/placement.rs
+++ b/src/core/route/placement.rs
@@ -13,7 +13,9 @@
 use crate::core::route::parts::Parts;
 use crate::core::route::predicted;
 use crate::core::route::predicted::Inputs;
+use crate::core::route::predicted::Prediction;
 use crate::core::route::predicted::Prior;
+use crate::core::route::probing::Known;
 use crate::core::route::probing::Probing;
 use crate::core::route::ring::Ring;
 use crate::core::route::ring::Rings;
@@ -80,6 +82,21 @@
     }
 }
 
+/// A request that is to be placed, and what is known at that moment.
+#[derive(Clone, Copy)]
+pub struct Query<'a> {
+    /// The servers.
+    pub servers: &'a Servers,
+    /// What was learned of the time that requests take.
+    pub estimates: &'a dyn Estimates,
+    /// Conditions on the candidates.
+    pub filter: Filter<'a>,
+    /// The request.
+    pub prompt: Prompt<'a>,
+    /// Current time.
+    pub now: Time,
+}
+
 /// A candidate for a request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Seat {
@@ -148,13 +165,8 @@
     }
 
     /// Returns the candidates for a request.
-    pub fn candidates(
-        &self,
-        servers: &Servers,
-        filter: &Filter<'_>,
-        prompt: &Prompt<'_>,
-        now: Time,
-    ) -> Vec<Seat> {
+    pub fn candidates(&self, query: &Query<'_>) -> Vec<Seat> {
+        let Query { filter, prompt, .. } = query;
         let rings: Vec<&Ring> = self.rings.of(filter.service, filter.version).collect();
         let total: usize = rings.iter().map(|ring| ring.len()).sum();
         let mut seats: Vec<Seat> = Vec::with_capacity(CANDIDATES);
@@ -163,7 +175,7 @@
             if is_known || filter.excluded.contains(id) {
                 return;
             }
-            if let Some(standing) = servers.standing(id, now) {
+            if let Some(standing) = query.servers.standing(id, query.now) {
                 let id = id.clone();
                 seats.push(Seat { id, standing });
             }
@@ -198,15 +210,18 @@
         seats
     }
 
-    /// Returns the candidates that are to be probed before a request is placed.
-    pub fn to_probe(
-        &self,
-        servers: &Servers,
-        estimates: &dyn Estimates,
-        filter: &Filter<'_>,
-        prompt: &Prompt<'_>,
-        now: Time,
-    ) -> Vec<Name> {
+    /// Returns the candidates that are to be probed next, at the same time, before a request
+    /// is placed.
+    ///
+    /// `asked` are those that were probed for the request before. At first only the best
+    /// candidate is probed, and then those that can be better.
+    pub fn to_probe(&self, query: &Query<'_>, asked: &[Name]) -> Vec<Name> {
+        let Query {
+            filter,
+            prompt,
+            now,
+            ..
+        } = query;
         let Some(prior) = self.priors.get(filter.service).filter(|p| p.is_active()) else {
             return Vec::new();
         };
@@ -215,59 +230,83 @@
             output_tokens: prompt.output_tokens,
             ..Work::default()
         };
-        let expected = estimates.expected_first(filter.service, &work);
+        let expected = query.estimates.expected_first(filter.service, &work);
         let expected = expected.or_else(|| prior.expected_first(&work));
         let is_worth = match expected {
-            Some(time) => self.probing.is_worth(time, now),
+            Some(time) => self.probing.is_worth(time, *now),
             None => prompt.tokens > 0.0,
         };
         if !is_worth {
             return Vec::new();
         }
-        let seats = self.candidates(servers, filter, prompt, now);
+        let seats = self.candidates(query);
         if seats.len() < 2 {
             return Vec::new();
         }
-        let known = seats.iter().map(|seat| (&seat.id, &seat.standing));
-        self.probing.select(known, now)
-    }
-
-    /// Places a request, or returns `None` if no candidate accepts it.
-    pub fn choose(
-        &mut self,
-        servers: &Servers,
-        estimates: &dyn Estimates,
-        filter: &Filter<'_>,
-        prompt: &Prompt<'_>,
-        now: Time,
-    ) -> Option<Placed> {
-        let seats = self.candidates(servers, filter, prompt, now);
-        let prior = self.priors.get(filter.service)?;
-        let predictions: Vec<predicted::Prediction> = seats
+        let predictions = self.predict(prior, query, &seats, false);
+        let if_idle = self.predict(prior, query, &seats, true);
+        let options: Vec<Known<'_>> = seats
             .iter()
-            .enumerate()
-            .map(|(index, seat)| {
-                let is_first = index == 0 && filter.excluded.is_empty();
-                let is_home = is_first && prompt.session.is_some();
-                let inputs = Inputs {
-                    uncached_tokens: self.uncached_tokens(prompt, &seat.id, is_home, now),
-                    output_tokens: prompt.output_tokens,
-                    standing: seat.standing,
-                    sent_tokens: self.sent_tokens(&seat.id, seat.standing.load, now),
-                    ratio: estimates.ratio(&seat.id, now),
-                };
-                let work = prior.work(&inputs, now);
-                let expected = estimates.expected_first(filter.service, &work);
-                prior.predict(work, &inputs, expected, now)
+            .zip(predictions.iter().zip(&if_idle))
+            .map(|(seat, (prediction, if_idle))| Known {
+                id: &seat.id,
+                standing: &seat.standing,
+                cost: prediction.cost,
+                lowest_cost: if_idle.cost,
             })
             .collect();
+        let best = predicted::choose(&predictions).unwrap_or_default();
+        self.probing.select(&options, best, asked, *now)
+    }
+
+    /// Predicts the time of a request at each candidate, or what it would be if the
+    /// candidate were idle.
+    fn predict(
+        &self,
+        prior: &Prior,
+        query: &Query<'_>,
+        seats: &[Seat],
+        if_idle: bool,
+    ) -> Vec<Prediction> {
+        let Query {
+            filter,
+            prompt,
+            now,
+            ..
+        } = query;
+        let predictions = seats.iter().enumerate().map(|(index, seat)| {
+            let is_first = index == 0 && filter.excluded.is_empty();
+            let is_home = is_first && prompt.session.is_some();
+            let mut standing = seat.standing;
+            if if_idle {
+                standing.load = Some((LoadReport::default(), *now));
+            }
+            let inputs = Inputs {
+                uncached_tokens: self.uncached_tokens(prompt, &seat.id, is_home, *now),
+                output_tokens: prompt.output_tokens,
+                standing,
+                sent_tokens: self.sent_tokens(&seat.id, seat.standing.load, *now),
+                ratio: query.estimates.ratio(&seat.id, *now),
+            };
+            let work = prior.work(&inputs, *now);
+            let expected = query.estimates.expected_first(filter.service, &work);
+            prior.predict(work, &inputs, expected, *now)
+        });
+        predictions.collect()
+    }
+
+    /// Places a request, or returns `None` if no candidate accepts it.
+    pub fn choose(&mut self, query: &Query<'_>) -> Option<Placed> {
+        let seats = self.candidates(query);
+        let prior = self.priors.get(query.filter.service)?;
+        let predictions = self.predict(prior, query, &seats, false);
         let at = predicted::choose(&predictions)?;
         let placed = Placed {
             id: seats[at].id.clone(),
             work: predictions[at].work,
             forecast: predictions[at].forecast,
         };
-        self.record_sent(filter.service, prompt, &placed, now);
+        self.record_sent(query.filter.service, &query.prompt, &placed, query.now);
         Some(placed)
     }
 
--- a/src/core/route/probing.rs
+++ b/src/core/route/probing.rs
@@ -10,6 +10,9 @@
 /// Time within which a server must answer a probe.
 pub const PROBE_TIMEOUT: Duration = Duration::from_millis(25);
 
+/// Time after which further candidates are probed although the first has not answered.
+pub const FIRST_TIMEOUT: Duration = Duration::from_millis(10);
+
 /// Maximum number of probes for one request.
 pub const MAX_PROBES: usize = 3;
 
@@ -39,6 +42,23 @@
 /// Time for which such a server is not probed.
 const PAUSE: Duration = Duration::from_secs(1);
 
+/// Part of the lowest cost by which another candidate must be able to undercut it to be worth
+/// a probe.
+const MIN_GAIN: f64 = 0.2;
+
+/// What is known of a candidate before a probe.
+#[derive(Clone, Copy, Debug)]
+pub struct Known<'a> {
+    /// The server.
+    pub id: &'a Name,
+    /// What is known of it.
+    pub standing: &'a Standing,
+    /// Cost by what is known.
+    pub cost: f64,
+    /// Cost if the server were idle.
+    pub lowest_cost: f64,
+}
+
 /// How a probe ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ProbeOutcome {
@@ -99,25 +119,45 @@
         expected >= limit
     }
 
-    /// Returns the first candidates that have no fresh report and may be probed.
-    pub fn select<'a>(
+    /// Returns the candidates that are to be probed at the same time.
+    ///
+    /// `best` is the index of the one with the lowest cost, and `asked` are those that were
+    /// probed for the request before. The best is probed first; the others are worth a probe
+    /// only if they can be better by [`MIN_GAIN`].
+    pub fn select(
         &self,
-        candidates: impl Iterator<Item = (&'a Name, &'a Standing)>,
+        candidates: &[Known<'_>],
+        best: usize,
+        asked: &[Name],
         now: Time,
     ) -> Vec<Name> {
-        let is_stale = |standing: &Standing| {
-            let is_fresh = |at: Time| now.since(at) < FRESH_TIME;
-            !standing.load.is_some_and(|(_, at)| is_fresh(at))
+        let Some(first) = candidates.get(best) else {
+            return Vec::new();
         };
+        if asked.is_empty() && self.may_probe(first, now) {
+            return vec![first.id.clone()];
+        }
+        let limit = first.cost * (1.0 - MIN_GAIN);
+        let is_worth = |index: usize, known: &Known<'_>| index == best || known.lowest_cost < limit;
         candidates
-            .filter(|(id, standing)| {
-                standing.can_probe && is_stale(standing) && !self.rests(id, now)
-            })
-            .take(MAX_PROBES)
-            .map(|(id, _)| id.clone())
+            .iter()
+            .enumerate()
+            .filter(|(index, known)| is_worth(*index, known) && !asked.contains(known.id))
+            .filter(|(_, known)| self.may_probe(known, now))
+            .take(MAX_PROBES.saturating_sub(asked.len()))
+            .map(|(_, known)| known.id.clone())
             .collect()
     }
 
+    /// Returns whether a candidate has no fresh report and may be probed.
+    fn may_probe(&self, known: &Known<'_>, now: Time) -> bool {
+        let is_fresh = |at: Time| now.since(at) < FRESH_TIME;
+        let load = known.standing.load;
+        known.standing.can_probe
+            && !load.is_some_and(|(_, at)| is_fresh(at))
+            && !self.rests(known.id, now)
+    }
+
     fn rests(&self, id: &str, now: Time) -> bool {
         let misses = self.misses.get(id);
         misses.is_some_and(|misses| misses.count >= MAX_MISSES && now.since(misses.last) < PAUSE)
--- a/src/entry/backends/placing.rs
+++ b/src/entry/backends/placing.rs
@@ -5,11 +5,14 @@
 use crate::core::Name;
 use crate::core::route::Forecast;
 use crate::core::route::placement::Placed;
+use crate::core::route::placement::Query;
 use crate::core::route::probing::ProbeOutcome;
 use crate::core::route::servers::Filter;
 use crate::core::route::servers::LoadReport;
+use crate::core::route::servers::Servers;
 use crate::core::route::servers::notice::Change;
 use crate::core::route::servers::notice::Notice;
+use crate::core::route::speed::Estimates;
 use crate::core::route::speed::Work;
 use crate::core::time::Time;
 use crate::entry::Entry;
@@ -54,16 +57,26 @@
 }
 
 impl Backends {
-    /// Returns the candidates for a request that are to be probed before it is placed.
-    pub fn to_probe(&self, criteria: &Criteria<'_>, now: Time) -> Vec<(Name, BackendServer)> {
+    /// Returns the candidates for a request that are to be probed next before it is placed.
+    ///
+    /// `asked` are those that were probed before.
+    pub fn to_probe(
+        &self,
+        criteria: &Criteria<'_>,
+        asked: &[Name],
+        now: Time,
+    ) -> Vec<(Name, BackendServer)> {
         let state = self.state.lock().unwrap();
-        let Some(prompt) = &criteria.prompt else {
+        let Some(query) = query(
+            &state.servers,
+            &state.estimates,
+            criteria,
+            criteria.avoid,
+            now,
+        ) else {
             return Vec::new();
         };
-        let filter = filter(criteria, criteria.avoid);
-        let ids = state
-            .placement
-            .to_probe(&state.servers, &state.estimates, &filter, prompt, now);
+        let ids = state.placement.to_probe(&query, asked);
         let with_server = |id: Name| {
             let server = state.registered.get(&id)?.clone();
             Some((id, server))
@@ -109,13 +122,11 @@
         avoid: &[Name],
         now: Time,
     ) -> Option<Placed> {
-        let prompt = criteria.prompt.as_ref()?;
         if !self.placement.is_active(criteria.service) {
             return None;
         }
-        let filter = filter(criteria, avoid);
-        self.placement
-            .choose(&self.servers, &self.estimates, &filter, prompt, now)
+        let query = query(&self.servers, &self.estimates, criteria, avoid, now)?;
+        self.placement.choose(&query)
     }
 
     /// Records a load report for the placement, and returns the change of the policy of
@@ -147,13 +158,27 @@
     }
 }
 
-/// Returns the conditions on the candidates; the number of slots is not used here.
-fn filter<'a>(criteria: &Criteria<'a>, avoid: &'a [Name]) -> Filter<'a> {
-    Filter {
+/// Returns the query for a request, if it may be placed by predicted time.
+fn query<'a>(
+    servers: &'a Servers,
+    estimates: &'a dyn Estimates,
+    criteria: &Criteria<'a>,
+    avoid: &'a [Name],
+    now: Time,
+) -> Option<Query<'a>> {
+    let filter = Filter {
         service: criteria.service,
         version: criteria.version,
+        // The number of slots has no influence on these candidates.
         slots: 0,
         excluded: avoid,
         exclude_suspected: false,
-    }
+    };
+    Some(Query {
+        servers,
+        estimates,
+        filter,
+        prompt: criteria.prompt?,
+        now,
+    })
 }
--- a/src/entry/probes.rs
+++ b/src/entry/probes.rs
@@ -1,5 +1,6 @@
 //! Probes of the load of servers, before a request is placed.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,8 +15,10 @@
 use http_body_util::Limited;
 use hyper::body::Body as _;
 use hyper::body::Incoming;
+use tokio::time::Instant;
 
 use crate::core::Name;
+use crate::core::route::probing::FIRST_TIMEOUT;
 use crate::core::route::probing::PROBE_TIMEOUT;
 use crate::core::route::probing::ProbeOutcome;
 use crate::entry::Entry;
@@ -38,11 +41,28 @@
     let Some(path) = health_path(entry, criteria.service) else {
         return;
     };
-    let targets = entry.backends.to_probe(criteria, entry.clock.now());
-    let probes = targets
-        .iter()
-        .map(|(id, server)| probe(entry, id, server, &path));
-    future::join_all(probes).await;
+    let next = |asked: &[Name]| {
+        let now = entry.clock.now();
+        entry.backends.to_probe(criteria, asked, now)
+    };
+    let targets = next(&[]);
+    if targets.is_empty() {
+        return;
+    }
+    let asked: Vec<Name> = targets.iter().map(|(id, _)| id.clone()).collect();
+    let deadline = Instant::now() + PROBE_TIMEOUT;
+    let probe_all = |targets: Vec<(Name, BackendServer)>| {
+        let targets = targets.into_iter();
+        future::join_all(targets.map(|(id, server)| probe(entry, id, server, &path, deadline)))
+    };
+    let mut first = pin!(probe_all(targets));
+    let waiting = tokio::time::timeout(FIRST_TIMEOUT, &mut first).await;
+    let further = probe_all(next(&asked));
+    if waiting.is_ok() {
+        further.await;
+    } else {
+        future::join(first, further).await;
+    }
 }
 
 fn health_path(entry: &Entry, service: &str) -> Option<Name> {
@@ -53,16 +73,16 @@
 /// Probes one server and records the outcome.
 ///
 /// A failure counts only against further probes: the server may be busy, or this node.
-async fn probe(entry: &Arc<Entry>, id: &Name, server: &BackendServer, path: &str) {
+async fn probe(entry: &Arc<Entry>, id: Name, server: BackendServer, path: &str, deadline: Instant) {
     let sent = entry.clock.now();
-    let asking = ask(entry, id, server, path);
-    let outcome = tokio::time::timeout(PROBE_TIMEOUT, asking).await;
+    let asking = ask(entry, &id, &server, path);
+    let outcome = tokio::time::timeout_at(deadline, asking).await;
     let outcome = outcome.unwrap_or(ProbeOutcome::TimedOut);
     metrics::counter!("cassialock_probes_total", "outcome" => outcome.as_str()).increment(1);
     let now = entry.clock.now();
     entry
         .backends
-        .record_probe(id, outcome, now.since(sent), now);
+        .record_probe(&id, outcome, now.since(sent), now);
 }
 
 async fn ask(entry: &Arc<Entry>, id: &Name, server: &BackendServer, path: &str) -> ProbeOutcome {
--- a/tests/decisions/placement/fleet.rs
+++ b/tests/decisions/placement/fleet.rs
@@ -15,6 +15,7 @@
 use cassialock::core::route::affinity::SessionAffinity;
 use cassialock::core::route::placement::Placement;
 use cassialock::core::route::placement::Prompt;
+use cassialock::core::route::placement::Query;
 use cassialock::core::route::probing::ProbeOutcome;
 use cassialock::core::route::servers::Class;
 use cassialock::core::route::servers::Filter;
@@ -214,6 +215,30 @@
     events: Vec<Option<Later>>,
 }
 
+/// Conditions on the candidates of all requests.
+const FILTER: Filter<'static> = Filter {
+    service: "m",
+    version: None,
+    slots: SLOTS as u32,
+    excluded: &[],
+    exclude_suspected: false,
+};
+
+fn query<'a>(
+    servers: &'a Servers,
+    estimates: &'a dyn Estimates,
+    prompt: Prompt<'a>,
+    now: f64,
+) -> Query<'a> {
+    Query {
+        servers,
+        estimates,
+        filter: FILTER,
+        prompt,
+        now: time(now),
+    }
+}
+
 fn time(ms: f64) -> Time {
     Time(1_000_000_000 + (ms * 1_000.0) as u64)
 }
@@ -305,13 +330,6 @@
             return (best.unwrap(), Work::default(), 0);
         }
         let entry = &mut self.entries[at];
-        let filter = Filter {
-            service: "m",
-            version: None,
-            slots: SLOTS as u32,
-            excluded: &[],
-            exclude_suspected: false,
-        };
         let is_learned = self.kind == Kind::Learned;
         let is_predicted = is_learned || self.kind == Kind::Predicted;
         let index = |id: &Name| self.names.binary_search(id).unwrap();
@@ -320,38 +338,43 @@
                 session: info.session_key(),
                 ..Request::default()
             };
-            let candidates = entry.servers.candidates(&filter, &request, time(now));
+            let candidates = entry.servers.candidates(&FILTER, &request, time(now));
             let chosen = entry.policy.choose(&request, &candidates, random).unwrap();
             return (index(&candidates[chosen].id), Work::default(), 0);
         }
         let estimates: &dyn Estimates = if is_learned { &self.known } else { &Unlearned };
         let prompt = Prompt::new(info, random);
-        let probed =
-            entry
+        let (mut now, mut asked) = (now, Vec::new());
+        for _ in 0..2 {
+            let probed = entry
                 .placement
-                .to_probe(&entry.servers, estimates, &filter, &prompt, time(now));
-        let answered = now + PROBE_MS;
-        for id in &probed {
-            let load = self.servers[index(id)].load(now + PROBE_MS / 2.0);
-            let notice = Notice {
-                load: Some(load),
-                ..Notice::default()
-            };
-            let (sent, now) = (time(now), time(answered));
-            entry
-                .servers
-                .record_probe_notice(id, &notice, sent, 0.0, now);
-            let took = Duration::from_secs_f64(PROBE_MS / 1_000.0);
-            let outcome = ProbeOutcome::Answered;
-            entry.placement.probing.record(id, outcome, took, now);
-            entry.placement.record_load(&"m".into(), &load);
+                .to_probe(&query(&entry.servers, estimates, prompt, now), &asked);
+            if probed.is_empty() {
+                break;
+            }
+            let (sent, answered) = (time(now), time(now + PROBE_MS));
+            for id in &probed {
+                let load = self.servers[index(id)].load(now + PROBE_MS / 2.0);
+                let notice = Notice {
+                    load: Some(load),
+                    ..Notice::default()
+                };
+                entry
+                    .servers
+                    .record_probe_notice(id, &notice, sent, 0.0, answered);
+                let took = answered.since(sent);
+                let outcome = ProbeOutcome::Answered;
+                entry.placement.probing.record(id, outcome, took, answered);
+                entry.placement.record_load(&"m".into(), &load);
+            }
+            asked.extend(probed);
+            now += PROBE_MS;
         }
-        let placed =
-            entry
-                .placement
-                .choose(&entry.servers, estimates, &filter, &prompt, time(answered));
+        let placed = entry
+            .placement
+            .choose(&query(&entry.servers, estimates, prompt, now));
         let placed = placed.unwrap();
-        (index(&placed.id), placed.work, probed.len())
+        (index(&placed.id), placed.work, asked.len())
     }
 
     fn push(&mut self, at_ms: f64, later: Later) {
@@ -401,7 +424,7 @@
             let (at, work, probed) = self.place(entry, &info, now);
             let server = &mut self.servers[at];
             let missing = server.missing(info.shared_parts());
-            let sent = if probed > 0 { now + PROBE_MS } else { now };
+            let sent = now + PROBE_MS * probed.min(2) as f64;
             let (first, end) = server.run(&info, sent);
             let id = self.names[at].clone();
             self.entries[entry].servers.begin_request(&id, &[]);
--- a/tests/decisions/placement/mod.rs
+++ b/tests/decisions/placement/mod.rs
@@ -24,6 +24,7 @@
     for entries in [2, 61, 300] {
         let predicted = run(Kind::Predicted, entries);
         let affinity = run(Kind::Affinity, entries);
+        run(Kind::Learned, entries);
         let ratio = predicted.in_time / central.in_time;
         assert!(ratio >= 0.93, "{entries} entries: {ratio:.3}");
         for other in [Kind::RoundRobin, Kind::LeastLoaded] {
--- a/tests/decisions/placement/rules.rs
+++ b/tests/decisions/placement/rules.rs
@@ -8,6 +8,8 @@
 use cassialock::core::route::parts::Parts;
 use cassialock::core::route::placement::Placement;
 use cassialock::core::route::placement::Prompt;
+use cassialock::core::route::placement::Query;
+use cassialock::core::route::probing::Known;
 use cassialock::core::route::probing::ProbeOutcome;
 use cassialock::core::route::probing::Probing;
 use cassialock::core::route::ring::Ring;
@@ -75,6 +77,16 @@
     }
 }
 
+fn query<'a>(servers: &'a Servers, prompt: Prompt<'a>, now: Time) -> Query<'a> {
+    Query {
+        servers,
+        estimates: &Unlearned,
+        filter: FILTER,
+        prompt,
+        now,
+    }
+}
+
 fn load_notice(load: LoadReport) -> Notice {
     Notice {
         load: Some(load),
@@ -106,7 +118,7 @@
         let homes = ["n1", "n2", "n3"].map(|name| {
             let (servers, mut placement) = node(name, 500);
             let prompt = prompt(&[], Some(session), session);
-            let placed = placement.choose(&servers, &Unlearned, &FILTER, &prompt, NOW);
+            let placed = placement.choose(&query(&servers, prompt, NOW));
             placed.unwrap().id
         });
         assert!(homes.iter().all(|home| *home == homes[0]), "{homes:?}");
@@ -123,7 +135,7 @@
         for draw in batch * 100..(batch + 1) * 100 {
             let prompt = prompt(&parts, Some(draw), draw);
             let now = NOW + Duration::from_millis(draw);
-            placement.choose(&servers, &Unlearned, &FILTER, &prompt, now);
+            placement.choose(&query(&servers, prompt, now));
         }
         began.elapsed() / 100
     });
@@ -140,7 +152,7 @@
     let (mut servers, placement) = node("n", 100);
     let prompt = prompt(&[], Some(3), 3);
     let first = |servers: &Servers| {
-        let seats = placement.candidates(servers, &FILTER, &prompt, NOW);
+        let seats = placement.candidates(&query(servers, prompt, NOW));
         seats[0].id.clone()
     };
     let exclusions: [fn(&mut Servers, &str); 3] = [
@@ -173,7 +185,7 @@
     servers.record_evacuations(evacuations, NOW);
     assert!(
         placement
-            .candidates(&servers, &FILTER, &prompt, NOW)
+            .candidates(&query(&servers, prompt, NOW))
             .is_empty()
     );
 }
@@ -189,7 +201,7 @@
     for draw in 0..40 {
         let prompt = prompt(&[], Some(1), draw);
         let now = NOW + Duration::from_millis(5);
-        let placed = placement.choose(&servers, &Unlearned, &FILTER, &prompt, now);
+        let placed = placement.choose(&query(&servers, prompt, now));
         let index = names(4).binary_search(&placed.unwrap().id).unwrap();
         counts[index] += 1;
     }
@@ -201,7 +213,7 @@
 fn stated_slowness_counts_less_with_its_age() {
     let (mut servers, mut placement) = node("n", 4);
     let prompt = prompt(&[], Some(1), 1);
-    let home = placement.candidates(&servers, &FILTER, &prompt, NOW)[0]
+    let home = placement.candidates(&query(&servers, prompt, NOW))[0]
         .id
         .clone();
     let slow = LoadReport {
@@ -211,7 +223,7 @@
     servers.record_probe_notice(&home, &load_notice(slow), NOW, 0.0, NOW);
     let mut place = |after_ms| {
         let now = NOW + Duration::from_millis(after_ms);
-        let placed = placement.choose(&servers, &Unlearned, &FILTER, &prompt, now);
+        let placed = placement.choose(&query(&servers, prompt, now));
         placed.unwrap()
     };
     assert_ne!(place(0).id, home);
@@ -255,32 +267,44 @@
 /// Guards against probes that cost more than they save, and against probing a server that
 /// does not answer, limits its rate or is closed before each request.
 #[test]
-fn only_candidates_without_a_fresh_report_are_probed() {
+fn only_candidates_are_probed_that_can_be_better_and_have_no_fresh_report() {
     let ids = names(6);
-    let at = |age_ms: u64, can_probe| Standing {
+    let standing = |age_ms: u64, can_probe| Standing {
         load: Some((IDLE, NOW.before(Duration::from_millis(age_ms)))),
         same_domain: true,
         reclaimable: false,
         can_probe,
     };
-    let standings = [
-        at(50, true),
-        at(200, true),
-        at(200, false),
-        at(200, true),
-        at(200, true),
-        at(200, true),
+    let rows = [
+        (standing(200, true), 10.0, 8.0),
+        (standing(200, true), 12.0, 7.0),
+        (standing(200, false), 12.0, 7.0),
+        (standing(50, true), 12.0, 7.0),
+        (standing(200, true), 12.0, 9.5),
+        (standing(200, true), 12.0, 7.0),
     ];
+    let options: Vec<Known<'_>> = ids
+        .iter()
+        .zip(&rows)
+        .map(|(id, (standing, cost, lowest_cost))| Known {
+            id,
+            standing,
+            cost: *cost,
+            lowest_cost: *lowest_cost,
+        })
+        .collect();
     let mut probing = Probing::new();
+    assert_eq!(probing.select(&options, 0, &[], NOW), ids[..1]);
+    let asked = &ids[..1];
+    let expected = [ids[1].clone(), ids[5].clone()];
+    assert_eq!(probing.select(&options, 0, asked, NOW), expected);
+    let ms = Duration::from_millis;
     for _ in 0..3 {
-        let took = Duration::from_millis(25);
-        probing.record(&ids[1], ProbeOutcome::TimedOut, took, NOW);
+        probing.record(&ids[1], ProbeOutcome::TimedOut, ms(25), NOW);
     }
-    let select = |now| probing.select(ids.iter().zip(&standings), now);
-    assert_eq!(select(NOW), ids[3..6]);
+    assert_eq!(probing.select(&options, 0, asked, NOW), expected[1..]);
     let later = NOW + Duration::from_secs(2);
-    assert!(select(later).contains(&ids[1]));
-    let ms = Duration::from_millis;
+    assert_eq!(probing.select(&options, 0, asked, later).len(), 2);
     assert!(probing.is_worth(ms(20), NOW) && !probing.is_worth(ms(19), NOW));
     probing.record(&ids[0], ProbeOutcome::Answered, ms(4), NOW);
     assert!(probing.is_worth(ms(80), NOW) && !probing.is_worth(ms(79), NOW));
