Order servers by the measured work of requests

Cause: a server was planned for 11 concurrent requests (70% of 16 slots), but reading prompts keeps servers busy long before their slots are taken.

Change: responses of idle servers show how long a request keeps a server busy. The arrival rate times the mean work, at a busy fraction of 0.6, bounds the number of servers from below, and requests that pile up count less. It takes effect for services that are placed by predicted time.

--- a/src/core/fleet/load.rs
+++ b/src/core/fleet/load.rs
@@ -14,6 +14,18 @@
 /// Largest fraction of a server's slots that is planned for.
 const MAX_SLOT_FRACTION: f64 = 0.7;
 
+/// Fraction of the time for which servers may be busy reading prompts.
+///
+/// At this fraction a request waits for one and a half times the work of another one on
+/// average; the wait grows without bound towards 1.
+const TARGET_BUSY_FRACTION: f64 = 0.6;
+
+/// Multiple of the shortest request duration up to which a running request counts as
+/// load if the work of requests is known.
+///
+/// Requests that pile up then tell nothing more about the servers that are needed.
+const MAX_DURATION_FACTOR_WITH_WORK: f64 = 1.2;
+
 /// Time constant of the exponential moving average of the traffic.
 const LOAD_TIME_CONSTANT: Duration = Duration::from_millis(1_500);
 
@@ -65,6 +77,25 @@
     }
 }
 
+/// Load of a service at one moment.
+#[derive(Clone, Copy, Debug, Default)]
+struct Load {
+    /// Concurrent requests.
+    concurrency: f64,
+    /// Servers that are busy reading prompts, if the work of requests is known.
+    busy_servers: f64,
+}
+
+impl Load {
+    /// Returns the larger of each part.
+    fn max(self, other: Load) -> Load {
+        Load {
+            concurrency: self.concurrency.max(other.concurrency),
+            busy_servers: self.busy_servers.max(other.busy_servers),
+        }
+    }
+}
+
 /// Estimates the concurrent requests of a service over all nodes.
 ///
 /// Servers take seconds to start and their caches take longer to fill, so the
@@ -79,8 +110,10 @@
     first_request: Option<Time>,
     /// Shortest request duration, in seconds.
     min_duration: Option<f64>,
+    /// Mean work of a request, in server-seconds, if it is known.
+    work: Option<f64>,
     /// Peak load in the current window and in the previous one.
-    peaks: [f64; 2],
+    peaks: [Load; 2],
     rotated_at: Time,
 }
 
@@ -90,6 +123,12 @@
         Self::default()
     }
 
+    /// Sets the mean time for which a request keeps a server busy until its response
+    /// begins, if it is known.
+    pub fn set_work(&mut self, work: Option<Duration>) {
+        self.work = work.map(|work| work.as_secs_f64());
+    }
+
     /// Records the current traffic of all nodes.
     pub fn record(&mut self, traffic: &Traffic, now: Time) {
         let elapsed = self
@@ -103,10 +142,10 @@
         }
         self.update_duration(elapsed, now);
         if now.since(self.rotated_at) > PEAK_WINDOW / 2 {
-            self.peaks = [self.capped_load(), self.peaks[0]];
+            self.peaks = [self.current_load(), self.peaks[0]];
             self.rotated_at = now;
         }
-        self.peaks[0] = self.peaks[0].max(self.capped_load());
+        self.peaks[0] = self.peaks[0].max(self.current_load());
     }
 
     /// Updates the shortest request duration.
@@ -123,12 +162,19 @@
         self.min_duration = Some(raised.min(duration));
     }
 
-    /// Returns the concurrent requests to plan for.
-    fn capped_load(&self) -> f64 {
+    /// Returns the load to plan for.
+    fn current_load(&self) -> Load {
+        let factor = match self.work {
+            Some(_) => MAX_DURATION_FACTOR_WITH_WORK,
+            None => MAX_DURATION_FACTOR,
+        };
         let cap = self.min_duration.map_or(f64::INFINITY, |duration| {
-            self.mean.arrival_rate * duration * MAX_DURATION_FACTOR
+            self.mean.arrival_rate * duration * factor
         });
-        self.mean.in_flight.min(cap)
+        Load {
+            concurrency: self.mean.in_flight.min(cap),
+            busy_servers: self.work.unwrap_or_default() * self.mean.arrival_rate,
+        }
     }
 
     /// Returns how many servers with `slots` each carry the load.
@@ -137,8 +183,10 @@
             .min(f64::from(slots) * MAX_SLOT_FRACTION)
             .max(1.0);
         let peak = self.peaks[0].max(self.peaks[1]);
+        let by_slots = peak.concurrency / per_server;
+        let by_work = peak.busy_servers / TARGET_BUSY_FRACTION;
         CapacityEstimate {
-            servers: (peak / per_server).ceil().max(1.0) as u32,
+            servers: by_slots.max(by_work).ceil().max(1.0) as u32,
             is_learned: self
                 .first_request
                 .is_some_and(|since| now.since(since) >= LEARNING_PERIOD),
--- a/src/core/fleet/mod.rs
+++ b/src/core/fleet/mod.rs
@@ -13,6 +13,7 @@
 pub mod load;
 pub mod reconcile;
 pub mod scaling;
+pub mod work;
 
 /// Slot utilization up to which servers meet the latency target.
 const TARGET_UTILIZATION: f64 = 0.75;
--- a/src/core/route/placement.rs
+++ b/src/core/route/placement.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use crate::core::Name;
+use crate::core::fleet::work::WorkMeter;
 use crate::core::name_map::NameMap;
 use crate::core::request::PromptPart;
 use crate::core::request::RequestInfo;
@@ -123,6 +124,8 @@
     rings: Rings,
     parts: Parts,
     priors: NameMap<Prior>,
+    /// Work of the requests of each service.
+    meters: NameMap<WorkMeter>,
     /// Requests of this node by server: when they were placed, and their uncached tokens.
     sent: NameMap<Vec<(Time, f64)>>,
     /// Which servers are probed.
@@ -158,12 +161,22 @@
     }
 
     /// Records the time until a response began.
-    pub fn record_first(&mut self, service: &str, work: &Work, took: Duration) {
+    pub fn record_first(&mut self, service: &Name, work: &Work, took: Duration) {
         if let Some(prior) = self.priors.get_mut(service) {
             prior.record_first(work, took);
+            if prior.is_active() {
+                let meter = self.meters.get_or_insert_with(service, WorkMeter::new);
+                meter.record(work, took);
+            }
         }
     }
 
+    /// Returns the mean time for which a request keeps a server of the service busy until
+    /// its response begins, if it is known.
+    pub fn mean_work(&self, service: &str) -> Option<Duration> {
+        self.meters.get(service)?.mean()
+    }
+
     /// Returns the candidates for a request.
     pub fn candidates(&self, query: &Query<'_>) -> Vec<Seat> {
         let Query { filter, prompt, .. } = query;
--- a/src/entry/backends/placing.rs
+++ b/src/entry/backends/placing.rs
@@ -84,6 +84,12 @@
         ids.into_iter().filter_map(with_server).collect()
     }
 
+    /// Returns the mean time for which a request keeps a server of a service busy until its
+    /// response begins, if it is known.
+    pub fn mean_work(&self, service: &str) -> Option<Duration> {
+        self.state.lock().unwrap().placement.mean_work(service)
+    }
+
     /// Records the outcome of a probe that took `took`.
     pub fn record_probe(&self, id: &Name, outcome: ProbeOutcome, took: Duration, now: Time) {
         let mut state = self.state.lock().unwrap();
--- a/src/entry/service_load.rs
+++ b/src/entry/service_load.rs
@@ -114,9 +114,8 @@
     let scaled = catalog.services.iter();
     for (service, _) in scaled.filter(|(_, service)| service.scale.is_some()) {
         let sum = traffic.get(service).copied().unwrap_or_default();
-        state
-            .loads
-            .get_or_insert_with(service, LoadEstimator::new)
-            .record(&sum, now);
+        let load = state.loads.get_or_insert_with(service, LoadEstimator::new);
+        load.set_work(entry.backends.mean_work(service));
+        load.record(&sum, now);
     }
 }
