Keep the requests at cold servers within what they tolerate

Servers that came back cold got 43 requests in a second where 41 were allowed (73 entries, 56 servers, 24 a second), since each entry counted only its own.

Each entry now paces its requests to servers that are not known to be warm by a share of the rate, and tells the others what the store and the servers state.

--- a/src/core/catalog.rs
+++ b/src/core/catalog.rs
@@ -7,6 +7,7 @@
 
 use crate::core::Name;
 use crate::core::name_map::NameMap;
+use crate::core::route::servers::cold::ColdStart;
 
 /// Holds one version of the declaration, indexed for lookup.
 ///
@@ -108,6 +109,8 @@
     pub health_path: Option<Name>,
     /// Bounds for automatic scaling, if the operator allows it.
     pub scale: Option<Scale>,
+    /// How servers start, if they are cold for some time.
+    pub cold: Option<ColdStart>,
 }
 
 /// Bounds on the servers of a service in each failure domain, and their prices.
--- a/src/core/fleet/scaling.rs
+++ b/src/core/fleet/scaling.rs
@@ -45,6 +45,8 @@
     pub on_demand: u32,
     /// Reclaimable servers that have received a reclaim notice.
     pub reclaiming: u32,
+    /// Servers that are cold and do not take their part of the load yet.
+    pub cold: u32,
     /// Servers of a version that is on trial beside the others, which orders include.
     pub trial: TrialServers,
 }
@@ -203,8 +205,15 @@
                 let count = target.min(room);
                 self.push(&mut orders, scale, servers, Class::Reclaimable, count, now);
             }
+            let is_cold = by_domain.iter().any(|servers| servers.cold > 0);
+            if is_cold {
+                // What replaces them is needed until they are warm.
+                self.domain_state(&servers.domain).surplus_since = None;
+            }
             let count = if need.is_unused {
                 wanted
+            } else if is_cold {
+                wanted.max(servers.on_demand)
             } else {
                 self.on_demand_to_order(scale, servers, wanted, now)
             };
--- a/src/core/route/pacer.rs
+++ b/src/core/route/pacer.rs
@@ -71,6 +71,12 @@
         self.updated_at = self.updated_at.max(now);
     }
 
+    /// Takes back what has accumulated, so that the next request waits.
+    pub fn drain(&mut self, now: Time) {
+        self.level = self.level_at(now).min(0.0);
+        self.updated_at = self.updated_at.max(now);
+    }
+
     fn capacity(&self) -> f64 {
         (self.rate * BURST.as_secs_f64()).max(MIN_BURST)
     }
--- a/src/core/route/servers/closure.rs
+++ b/src/core/route/servers/closure.rs
@@ -9,6 +9,7 @@
 use crate::core::Name;
 use crate::core::route::servers::Server;
 use crate::core::route::servers::Servers;
+use crate::core::route::servers::cold::Coldness;
 use crate::core::time::Time;
 
 /// Longest time for which one answer closes a server.
@@ -75,6 +76,8 @@
     pub wait: Duration,
     /// Whether it turned away a request, and did not only limit their rate.
     pub is_closed: bool,
+    /// Why the server counts as cold, if it does.
+    pub cold: Option<Coldness>,
 }
 
 impl fmt::Display for Opening {
@@ -89,7 +92,18 @@
         write!(
             f,
             "next request allowed here in {wait} ms at {server}, which {reason}"
-        )
+        )?;
+        let Some(cold) = &self.cold else {
+            return Ok(());
+        };
+        let (source, age) = (cold.source.as_str(), cold.age.as_millis());
+        match cold.left {
+            Some(left) => {
+                let left = left.as_millis();
+                write!(f, " and is cold for {left} ms ({source}, {age} ms ago)")
+            }
+            None => write!(f, " and may be cold ({source}, {age} ms ago)"),
+        }
     }
 }
 
@@ -171,13 +185,14 @@
     ) -> Option<Opening> {
         self.subset(service, version)
             .filter(|server| !server.leaving)
-            .filter(|server| server.closure.is_some() || server.rate_limit.is_some())
+            .filter(|server| server.closure.is_some() || self.is_paced_server(server, now))
             .map(|server| {
-                let (closed, paced) = (server.closed_wait(now), server.pacing_wait(now));
+                let (closed, paced) = (server.closed_wait(now), self.pacing_of(server, now));
                 Opening {
                     server: server.vm.id.clone(),
                     wait: closed.max(paced),
                     is_closed: closed >= paced,
+                    cold: self.coldness_of(server, now),
                 }
             })
             .min_by_key(|opening| opening.wait)
--- a/src/core/route/servers/limit.rs
+++ b/src/core/route/servers/limit.rs
@@ -75,7 +75,7 @@
 
 impl Server {
     /// Returns the time until the server's rate limit allows a request of this node.
-    pub(super) fn pacing_wait(&self, now: Time) -> Duration {
+    fn limit_wait(&self, now: Time) -> Duration {
         let limit = self.rate_limit.as_ref();
         limit.map_or(Duration::ZERO, |limit| limit.wait(now))
     }
@@ -125,16 +125,29 @@
         true
     }
 
+    /// Returns the time until both the limit that a server names and the rate that it
+    /// tolerates while it is cold allow a request of this node; the lower of them applies.
+    pub(super) fn pacing_of(&self, server: &Server, now: Time) -> Duration {
+        server.limit_wait(now).max(self.cold_wait(server, now))
+    }
+
+    /// Returns whether the rate of requests to a server is limited.
+    pub(super) fn is_paced_server(&self, server: &Server, now: Time) -> bool {
+        server.rate_limit.is_some() || self.coldness_of(server, now).is_some()
+    }
+
     /// Sets the sorted names of the nodes that share the rate limits of the servers.
     pub fn set_nodes(&mut self, names: &[Name], now: Time) {
+        self.record_activity(now);
         let is_same = self.nodes == names;
-        if is_same && self.has_shares {
+        if is_same && self.has_shares && !self.needs_cold_shares(now) {
             return;
         }
         if !is_same {
             self.nodes = names.to_vec();
         }
         self.share_limits(now);
+        self.share_cold(now);
         self.has_shares = true;
     }
 
@@ -184,19 +197,21 @@
         Some(total / senders as f64)
     }
 
-    /// Counts a request to a server against its rate limit.
-    pub fn spend_rate(&mut self, id: &str, now: Time) {
+    /// Counts a request to a server against its rate limit and what it tolerates while it
+    /// is cold, and returns whether it is cold.
+    pub fn spend_rate(&mut self, id: &str, now: Time) -> bool {
         let server = self.by_id.get_mut(id);
         let limit = server.and_then(|server| server.rate_limit.as_mut());
         if let Some(pacer) = limit.and_then(|limit| limit.pacer.as_mut()) {
             pacer.spend(now);
         }
+        self.spend_cold(id, now)
     }
 
     /// Returns the time until the rate limit of a server allows a request of this node.
     pub fn server_wait(&self, id: &str, now: Time) -> Duration {
         let server = self.by_id.get(id);
-        server.map_or(Duration::ZERO, |server| server.pacing_wait(now))
+        server.map_or(Duration::ZERO, |server| self.pacing_of(server, now))
     }
 
     /// Returns the time until any candidate accepts a request, or `None` if none is
--- a/src/core/route/servers/mod.rs
+++ b/src/core/route/servers/mod.rs
@@ -19,8 +19,10 @@
 use crate::core::time::Time;
 
 pub mod closure;
+pub mod cold;
 pub mod evacuation;
 pub mod health;
+pub mod in_flight;
 pub mod limit;
 pub mod notice;
 pub mod silence;
@@ -109,6 +111,7 @@
     mean_own: f64,
     request_ms: f64,
     rate_limit: Option<RateLimit>,
+    cold: cold::Knowledge,
     closure: Option<Box<Closure>>,
     index: prefix::Index,
 }
@@ -129,6 +132,7 @@
             mean_own: 0.0,
             request_ms: 0.0,
             rate_limit: None,
+            cold: cold::Knowledge::new(),
             closure: None,
             index: prefix::Index::new(),
         }
@@ -204,6 +208,7 @@
     has_shares: bool,
     /// Servers whose limit has ended, and when.
     ended_limits: NameMap<Time>,
+    cold: cold::Fleet,
 }
 
 impl Servers {
@@ -221,6 +226,7 @@
             nodes: Vec::new(),
             has_shares: false,
             ended_limits: NameMap::new(),
+            cold: cold::Fleet::default(),
         }
     }
 
@@ -381,35 +387,6 @@
         }
     }
 
-    /// Counts a request as in flight at a server, and its prompt blocks as cached there.
-    pub fn begin_request(&mut self, id: &str, block_hashes: &[u64]) {
-        if let Some(server) = self.by_id.get_mut(id) {
-            server.own_requests += 1;
-            server.index.add(block_hashes);
-        }
-    }
-
-    /// Counts a request at a server as ended.
-    pub fn end_request(&mut self, id: &str) {
-        if let Some(server) = self.by_id.get_mut(id) {
-            server.own_requests = server.own_requests.saturating_sub(1);
-        }
-    }
-
-    /// Counts a request at a server that is suspected of having crashed another server.
-    pub fn add_suspect(&mut self, id: &str) {
-        if let Some(server) = self.by_id.get_mut(id) {
-            server.suspect_requests += 1;
-        }
-    }
-
-    /// Counts a suspected request at a server as ended.
-    pub fn remove_suspect(&mut self, id: &str) {
-        if let Some(server) = self.by_id.get_mut(id) {
-            server.suspect_requests = server.suspect_requests.saturating_sub(1);
-        }
-    }
-
     /// Returns a mutable reference to the prefix index of a server.
     pub fn index_mut(&mut self, id: &str) -> Option<&mut prefix::Index> {
         self.by_id.get_mut(id).map(|server| &mut server.index)
@@ -437,6 +414,18 @@
 
     /// Returns the candidates for a request that match `filter`.
     pub fn candidates(&self, filter: &Filter<'_>, request: &Request, now: Time) -> Vec<Candidate> {
+        self.candidates_with(filter, request, &[], now)
+    }
+
+    /// Returns the candidates for a request, and those of the sorted servers `held` whose
+    /// rate is used up.
+    pub fn candidates_with(
+        &self,
+        filter: &Filter<'_>,
+        request: &Request,
+        held: &[Name],
+        now: Time,
+    ) -> Vec<Candidate> {
         let servers: Vec<&Server> = self
             .subset(filter.service, filter.version)
             .filter(|server| !filter.excluded.contains(&server.vm.id))
@@ -444,10 +433,11 @@
             .collect();
         // If all servers are ejected, using one of them is better than using none.
         let all_ejected = servers.iter().all(|server| !server.is_usable(now));
+        let is_held = |server: &Server| held.binary_search(&server.vm.id).is_ok();
         servers
             .into_iter()
             .filter(|server| all_ejected || server.is_usable(now))
-            .filter(|server| server.pacing_wait(now).is_zero())
+            .filter(|server| is_held(server) || self.pacing_of(server, now).is_zero())
             .filter(|server| !filter.exclude_suspected || server.suspect_requests == 0)
             .map(|server| Candidate {
                 id: server.vm.id.clone(),
--- a/src/core/route/servers/notice.rs
+++ b/src/core/route/servers/notice.rs
@@ -9,6 +9,8 @@
 use crate::core::route::servers::LoadReport;
 use crate::core::route::servers::Servers;
 use crate::core::route::servers::closure::Closure;
+use crate::core::route::servers::cold::Source;
+use crate::core::route::servers::cold::Stated;
 use crate::core::time::Time;
 
 /// Time after which a server that announced its end and is no longer listed is
@@ -32,6 +34,8 @@
     TurnedAway,
     /// How long work takes at the server at the moment.
     WorkTime,
+    /// For how long the server stays cold.
+    Cold,
 }
 
 impl Statement {
@@ -41,6 +45,7 @@
             Statement::Leaving => "leaving",
             Statement::TurnedAway => "turned_away",
             Statement::WorkTime => "work_time",
+            Statement::Cold => "cold",
         }
     }
 }
@@ -76,6 +81,8 @@
     pub closed_s: Option<f64>,
     /// Whether the address now belongs to another server.
     pub is_misdirected: bool,
+    /// Time for which the server stays cold, if it states one.
+    pub cold: Stated,
     /// Statements that cannot be understood.
     pub invalid: Vec<Ignored>,
 }
@@ -172,6 +179,7 @@
         if let Some(load) = notice.load {
             self.record_load(id, load, now);
         }
+        self.record_cold(id, &notice.cold, Source::Health, now);
         let limit = notice.rate_limit;
         if (limit.is_some() || receipt.is_signed)
             && self.record_rate_limit(id, limit, receipt.random, now)
--- a/src/entry/adapter.rs
+++ b/src/entry/adapter.rs
@@ -22,6 +22,7 @@
 use crate::core::refusal::Refusal;
 use crate::core::request::RequestInfo;
 use crate::core::route::servers::Class;
+use crate::core::route::servers::cold::Stated;
 use crate::core::route::servers::notice::Notice;
 use crate::core::usage::WindowCounts;
 use crate::web::Body;
@@ -146,6 +147,11 @@
     pub is_leaving: bool,
     /// Pricing class: whether the platform may reclaim its VM.
     pub class: Class,
+    /// What the record states about the time for which the server stays cold.
+    ///
+    /// It is not part of what a relay sends, whose layout is fixed.
+    #[serde(skip)]
+    pub cold: Stated,
 }
 
 /// Describes a version move declared by an operator.
--- a/src/entry/backends/in_flight.rs
+++ b/src/entry/backends/in_flight.rs
@@ -53,6 +53,13 @@
         state.servers.record_failure(&self.id, now);
     }
 
+    /// Records that a connection to the server broke, which may have started again.
+    pub fn doubt_warmth(&self) {
+        let now = self.entry.clock.now();
+        let mut state = self.entry.backends.state.lock().unwrap();
+        state.servers.doubt_warmth(&self.id, now);
+    }
+
     /// Suspects the server, which has sent nothing to the request since `since`.
     pub fn suspect(&self, since: Time) -> Suspicion {
         let now = self.entry.clock.now();
--- a/src/entry/backends/mod.rs
+++ b/src/entry/backends/mod.rs
@@ -15,6 +15,8 @@
 use crate::core::route::servers::Servers;
 use crate::core::route::servers::Vm;
 use crate::core::route::servers::closure::Opening;
+use crate::core::route::servers::cold::Source;
+use crate::core::route::servers::cold::Stated;
 use crate::core::route::servers::notice::Departure;
 use crate::core::route::speed::Work;
 use crate::core::time::Time;
@@ -22,6 +24,7 @@
 use crate::entry::adapter::BackendServer;
 use crate::telemetry::events::Event;
 
+pub mod cold;
 pub mod in_flight;
 
 /// Slots assumed per server of a service that has no servers.
@@ -48,6 +51,8 @@
     pub server: BackendServer,
     /// Start of the trial that the attempt is, if the server turned requests away.
     pub trial: Option<Time>,
+    /// Time at which the request was counted against the rate of the server, if it is cold.
+    pub paced: Option<Time>,
     /// Sizes of the request and load of the server when it was chosen.
     pub work: Work,
     /// Predicted time until the response begins, if enough is known.
@@ -98,6 +103,7 @@
         let mut state = self.state.lock().unwrap();
         let mut present: Vec<Name> = list.iter().map(|server| server.instance.clone()).collect();
         present.sort_unstable();
+        let stated = cold::stated(&list);
         let mut events = Vec::new();
         for server in list {
             events.extend(state.upsert(server));
@@ -112,6 +118,7 @@
             events.extend(state.remove_or_hold(&instance, now));
         }
         state.rebuild();
+        state.record_cold(&stated, Source::Listing, now);
         events
     }
 
@@ -148,6 +155,7 @@
             return Vec::new();
         }
         let mut state = self.state.lock().unwrap();
+        let stated = cold::stated(changes.iter().filter_map(|(_, server)| server.as_ref()));
         let mut events = Vec::new();
         for (instance, server) in changes {
             match server {
@@ -156,6 +164,7 @@
             }
         }
         state.rebuild();
+        state.record_cold(&stated, Source::Record, now);
         events
     }
 
@@ -174,6 +183,7 @@
     /// Returns the reason if there is no server that accepts a request.
     pub fn choose(&self, criteria: &Criteria<'_>, now: Time) -> Result<ChosenBackend, Unavailable> {
         let mut state = self.state.lock().unwrap();
+        state.servers.record_activity(now);
         let slots = state.slots(criteria.service);
         let request = RouteRequest {
             session: criteria.session,
@@ -193,13 +203,15 @@
                 let id = candidates[at].id.clone();
                 let server = state.registered.get(&id).cloned();
                 let server = server.ok_or(Unavailable::NoServer)?;
-                state.servers.spend_rate(&id, now);
+                state.count_diverted(&filter, &request, criteria.random, now);
+                let paced = state.servers.spend_rate(&id, now).then_some(now);
                 let trial = state.servers.begin_trial(&id, now);
                 state.servers.begin_probe(&id, now);
                 return Ok(ChosenBackend {
                     id,
                     server,
                     trial,
+                    paced,
                     work: Work::default(),
                     forecast: None,
                 });
@@ -263,6 +275,7 @@
         service: &str,
         domains: &[Name],
         trial: Option<&Name>,
+        now: Time,
     ) -> Vec<DomainServers> {
         let state = self.state.lock().unwrap();
         let is_other = |server: &BackendServer| Some(&server.version) != trial;
@@ -282,6 +295,7 @@
                 .find(|counts| counts.domain == server.domain && *server.service == *service);
             let Some(counts) = counts else { continue };
             let is_trial = has_others && !is_other(server);
+            counts.cold += u32::from(state.is_starting(server, now));
             match (server.class, server.is_leaving) {
                 (Class::Reclaimable, false) if is_trial => counts.trial.reclaimable += 1,
                 (Class::OnDemand, false) if is_trial => counts.trial.on_demand += 1,
@@ -378,6 +392,7 @@
         let is_leaving = server.is_leaving || self.servers.has_announced(id);
         BackendServer {
             is_leaving,
+            cold: Stated::Missing,
             ..server
         }
     }
--- a/src/entry/call/attempt.rs
+++ b/src/entry/call/attempt.rs
@@ -20,6 +20,7 @@
 use crate::entry::adapter::ForwardInfo;
 use crate::entry::adapter::ResponseInfo;
 use crate::entry::backends::ChosenBackend;
+use crate::entry::backends::cold;
 use crate::entry::backends::in_flight::InFlight;
 use crate::entry::call::AttemptError;
 use crate::entry::call::Call;
@@ -405,6 +406,9 @@
         if cause == Cause::Silent {
             self.suspect();
         }
+        if matches!(cause, Cause::Connect | Cause::Cut) {
+            self.in_flight.doubt_warmth();
+        }
         match self.suspicion {
             // A failure is counted already.
             Some(Suspicion::Failure) => {}
@@ -438,7 +442,7 @@
         .await
         .map_err(|_| Cause::Connect)?;
     metrics::counter!("cassialock_connections_total").increment(1);
-    if entry.backends.accepts(server) {
+    if entry.backends.accepts(server) && cold::is_paced(entry, server) {
         Ok(connection)
     } else {
         Err(Cause::Closed)
--- a/src/entry/call/mod.rs
+++ b/src/entry/call/mod.rs
@@ -27,6 +27,7 @@
 use crate::entry::backends::ChosenBackend;
 use crate::entry::backends::Criteria;
 use crate::entry::backends::Unavailable;
+use crate::entry::backends::cold;
 use crate::entry::call::attempt::Scope;
 use crate::entry::call::deadlines::Deadlines;
 use crate::entry::call::outcome::Outcome;
@@ -419,6 +420,9 @@
             }
         }
         Unavailable::Limited(opening) => {
+            if opening.cold.is_some() {
+                cold::count_refused(service);
+            }
             let detail = format!("the servers of {service} accept no more requests for now");
             Refusal::new(Reason::Overloaded, detail)
                 .with_inputs(opening.to_string())
--- a/src/entry/call/resend.rs
+++ b/src/entry/call/resend.rs
@@ -48,7 +48,11 @@
             id: call.request.id.clone(),
             service: call.service.clone(),
             features: call.features.clone(),
-            server: server.clone(),
+            // Another arrival at a cold server would not be counted.
+            server: ChosenBackend {
+                paced: None,
+                ..server.clone()
+            },
             request,
             arrived: call.arrived,
             deadline: call.deadlines.end,
--- a/src/entry/feeds/backends.rs
+++ b/src/entry/feeds/backends.rs
@@ -11,6 +11,7 @@
 use crate::entry::adapter::Content;
 use crate::entry::adapter::Object;
 use crate::entry::adapter::ObjectKind;
+use crate::entry::backends::cold;
 use crate::entry::feeds;
 use crate::entry::feeds::Feed;
 use crate::entry::feeds::Resume;
@@ -102,6 +103,7 @@
         // The time at which the call was sent says nothing about whether the store
         // still answers: a change may end a watch that has waited for long.
         entry.relay.record_response(entry.clock.now());
+        cold::confirm(entry);
     }
 }
 
--- a/src/entry/feeds/catalog.rs
+++ b/src/entry/feeds/catalog.rs
@@ -11,6 +11,7 @@
 use crate::entry::adapter::Content;
 use crate::entry::adapter::Object;
 use crate::entry::adapter::ObjectKind;
+use crate::entry::backends::cold;
 use crate::entry::feeds;
 use crate::entry::feeds::Feed;
 use crate::entry::feeds::Resume;
@@ -28,6 +29,10 @@
         match object.content {
             Content::Catalog(catalog) => {
                 let (before, version) = (entry.catalog.version(), catalog.version);
+                if version > before {
+                    // No request may be sent to a cold server as to a warm one.
+                    cold::set_starts(entry, &catalog);
+                }
                 if entry.catalog.install(*catalog) {
                     if let Some(catalog) = entry.catalog.load() {
                         entry.moves.retain_routes(&catalog);
--- a/src/entry/leader/scaling.rs
+++ b/src/entry/leader/scaling.rs
@@ -37,7 +37,7 @@
             let now = entry.clock.now();
             let trial = entry.moves.trial_version(service, now);
             let backends = &entry.backends;
-            let domain_servers = backends.servers_by_domain(service, &domains, trial.as_ref());
+            let domain_servers = backends.servers_by_domain(service, &domains, trial.as_ref(), now);
             let is_arriving = entry
                 .moves
                 .is_declared_within(service, scale.boot_time, now);
--- a/src/entry/membership/datagrams.rs
+++ b/src/entry/membership/datagrams.rs
@@ -15,11 +15,13 @@
 use crate::core::peer::NodeStatus;
 use crate::core::quarantine::bulletin::Bulletin;
 use crate::core::quarantine::bulletin::Scope;
+use crate::core::route::servers::cold::news::ColdNews;
 use crate::core::route::servers::evacuation::Evacuations;
 use crate::core::route::servers::limit::LimitEnd;
 use crate::core::route::servers::notice::Departure;
 use crate::core::time::Time;
 use crate::entry::Entry;
+use crate::entry::backends::cold;
 use crate::entry::evacuations;
 use crate::entry::limits;
 use crate::entry::membership;
@@ -55,6 +57,7 @@
     LimitEnds(Vec<LimitEnd>),
     /// The newest window whose usage the lease holder has claimed.
     UsageClaimed(u64),
+    Cold(ColdNews),
 }
 
 /// Binds the UDP socket for messages between entries.
@@ -189,6 +192,9 @@
     if !limit_ends.is_empty() {
         send(entry, socket, to, &Datagram::LimitEnds(limit_ends)).await;
     }
+    if let Some(news) = cold::news(entry, scope == Scope::All) {
+        send(entry, socket, to, &Datagram::Cold(news)).await;
+    }
     if let Some(evacuations) = evacuations {
         send(entry, socket, to, &Datagram::Evacuations(evacuations)).await;
     }
@@ -289,6 +295,7 @@
         Ok(Datagram::UsageClaimed(window)) => {
             entry.usage.record_claimed(window, entry.cluster_time());
         }
+        Ok(Datagram::Cold(news)) => cold::record_news(entry, &news),
         Ok(Datagram::LimitEnds(ends)) => notices::record_limit_ends(entry, from, &ends),
         Ok(Datagram::Evacuations(evacuations)) => evacuations::merge(entry, from, evacuations),
         Ok(Datagram::Moves(reports)) => {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -338,6 +338,7 @@
         step.tick().await;
         limits::refresh(&entry);
         backends::expire_lapsed(&entry);
+        backends::cold::refresh(&entry);
         service_load::refresh(&entry);
         quarantine::update(&entry);
         moves::judge(&entry);
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -5,6 +5,7 @@
 
 use crate::core::Name;
 use crate::core::limit::quota::Tolerance;
+use crate::core::route::servers::cold;
 
 /// Holds the settings of an entry node.
 #[derive(Clone, Debug, PartialEq)]
@@ -68,6 +69,8 @@
     pub ttl_max: Duration,
     /// Whether an operator may evacuate failure domains.
     pub has_evacuations: bool,
+    /// How far the requests at a cold server may exceed what it tolerates.
+    pub cold: cold::Tolerance,
 }
 
 impl Default for Bounds {
@@ -85,6 +88,7 @@
             exposed_share: 0.1,
             ttl_max: Duration::from_secs(5),
             has_evacuations: false,
+            cold: cold::Tolerance::default(),
         }
     }
 }
--- a/src/platform/decode.rs
+++ b/src/platform/decode.rs
@@ -16,6 +16,8 @@
 use crate::core::catalog::Workspace;
 use crate::core::name_map::NameMap;
 use crate::core::route::servers::Class;
+use crate::core::route::servers::cold::ColdStart;
+use crate::core::route::servers::cold::Stated;
 use crate::entry::adapter::BackendServer;
 use crate::entry::adapter::Content;
 use crate::entry::adapter::DeclaredMove;
@@ -25,6 +27,9 @@
 /// value.
 const DEFAULT_PLAIN_TOKENS: u64 = 1;
 
+/// Maximum number of characters of an invalid value that are kept for the log.
+const MAX_SHOWN: usize = 64;
+
 /// Converts milliseconds to a duration; an invalid value becomes zero.
 fn millis(value: f64) -> Duration {
     Duration::try_from_secs_f64(value / 1_000.0).unwrap_or_default()
@@ -86,6 +91,10 @@
     health_path: Option<String>,
     engine: Option<WireEngine>,
     scale: Option<WireScale>,
+    /// Seconds for which a server is cold after its start; 0 if it never is.
+    cold_start_s: Option<f64>,
+    /// Requests per second that a cold server tolerates from all nodes together.
+    cold_per_s: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -195,6 +204,7 @@
     let service = Service {
         slots: wire.engine.map(|engine| engine.slots),
         health_path: wire.health_path.map(Into::into),
+        cold: cold_start(wire.cold_start_s, wire.cold_per_s),
         scale: wire.scale.map(|scale| Scale {
             min: scale.min,
             max: scale.max,
@@ -206,6 +216,33 @@
     (wire.name.into(), service)
 }
 
+/// Returns how the servers of a service start, or `None` if they are never cold or no rate
+/// is known that they tolerate.
+fn cold_start(time_s: Option<f64>, rate: Option<f64>) -> Option<ColdStart> {
+    let time = seconds(time_s?);
+    let rate = rate.filter(|rate| rate.is_finite() && *rate > 0.0)?;
+    (!time.is_zero()).then_some(ColdStart { time, rate })
+}
+
+/// Returns the time for which the record of a server states that it stays cold.
+fn cold_time(value: Option<&Value>) -> Stated {
+    let Some(value) = value else {
+        return Stated::Missing;
+    };
+    let time = value.as_f64().filter(|millis| *millis >= 0.0);
+    match time.and_then(|millis| Duration::try_from_secs_f64(millis / 1_000.0).ok()) {
+        Some(time) => Stated::For(time),
+        None => Stated::Invalid(
+            value
+                .to_string()
+                .chars()
+                .take(MAX_SHOWN)
+                .collect::<String>()
+                .into(),
+        ),
+    }
+}
+
 fn workspace(wire: WireTenant) -> Workspace {
     let unit = if wire.billing_unit == "token_stream" {
         BillingUnit::Tokens {
@@ -248,6 +285,8 @@
     born: u64,
     #[serde(default)]
     spot: bool,
+    /// Milliseconds for which the server stays cold; 0 if it is warm.
+    cold_ms: Option<Value>,
 }
 
 /// Decodes the object of a backend server.
@@ -283,6 +322,7 @@
         } else {
             Class::OnDemand
         },
+        cold: cold_time(wire.cold_ms.as_ref()),
     })
 }
 
--- a/src/platform/protocol.rs
+++ b/src/platform/protocol.rs
@@ -20,6 +20,7 @@
 use crate::core::request::RequestInfo;
 use crate::core::request::TokenCounts;
 use crate::core::route::servers::LoadReport;
+use crate::core::route::servers::cold::Stated;
 use crate::core::route::servers::notice::Ignored;
 use crate::core::route::servers::notice::Notice;
 use crate::core::route::servers::notice::Statement;
@@ -65,6 +66,9 @@
 /// does not limit them.
 const SERVER_LIMIT: HeaderName = HeaderName::from_static("server-limit");
 
+/// Milliseconds for which the server stays cold; absent if it is warm.
+const COLD: HeaderName = HeaderName::from_static("x-cassialock-cold-ms");
+
 /// Present with the value 1 if the server is leaving.
 const SERVER_LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 
@@ -162,6 +166,21 @@
     })
 }
 
+/// Returns the time for which a server states that it stays cold.
+fn read_cold(headers: &HeaderMap) -> Stated {
+    let parse = |text: &str| {
+        let millis = text.parse().ok().filter(|millis: &f64| *millis >= 0.0)?;
+        Duration::try_from_secs_f64(millis / 1_000.0).ok()
+    };
+    let mut invalid = None;
+    let time = read_statement(headers, &COLD, parse, |value| invalid = Some(value));
+    match (time, invalid) {
+        (Some(time), _) => Stated::For(time),
+        (None, Some(value)) => Stated::Invalid(value),
+        (None, None) => Stated::Missing,
+    }
+}
+
 /// Parses a load report; `reject` gets the statement about the time that work takes if
 /// it is not usable.
 fn parse_load(value: &str, reject: impl FnOnce(Name)) -> Option<LoadReport> {
@@ -390,6 +409,7 @@
             is_leaving: is_leaving.is_some(),
             closed_s,
             is_misdirected: status == StatusCode::MISDIRECTED_REQUEST,
+            cold: read_cold(headers),
             invalid,
         }
     }
--- a/src/platform/settings_file.rs
+++ b/src/platform/settings_file.rs
@@ -10,6 +10,7 @@
 use crate::core::config::validate::DocumentError;
 use crate::core::limit::quota::Tolerance;
 use crate::core::name_map::NameMap;
+use crate::core::route::servers::cold;
 use crate::entry::settings::Bounds;
 use crate::entry::settings::Settings;
 
@@ -74,6 +75,8 @@
     expose_share: Option<f64>,
     ttl_max_s: Option<f64>,
     evacuate_ms: Option<f64>,
+    cold_over: Option<f64>,
+    cold_slack: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -170,6 +173,15 @@
     Duration::try_from_secs_f64(value * unit).map_err(invalid)
 }
 
+/// Returns a value that is neither negative nor infinite.
+fn amount(field: &str, value: Option<f64>, default: f64) -> Result<f64, DocumentError> {
+    let value = value.unwrap_or(default);
+    if value.is_finite() && value >= 0.0 {
+        return Ok(value);
+    }
+    Err(DocumentError::new(field, format!("not an amount: {value}")))
+}
+
 fn bounds(wire: &WireBounds) -> Result<Bounds, DocumentError> {
     let default = Bounds::default();
     let ms = 0.001;
@@ -200,5 +212,9 @@
         exposed_share: wire.expose_share.unwrap_or(default.exposed_share),
         ttl_max: duration("bounds.ttl_max_s", wire.ttl_max_s, 1.0, default.ttl_max)?,
         has_evacuations: wire.evacuate_ms.is_some(),
+        cold: cold::Tolerance {
+            ratio: amount("bounds.cold_over", wire.cold_over, default.cold.ratio)?,
+            slack: amount("bounds.cold_slack", wire.cold_slack, default.cold.slack)?,
+        },
     })
 }
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -4,6 +4,7 @@
 mod aggregate_gap;
 mod canary;
 mod closure;
+mod cold;
 mod completion;
 mod config;
 mod drills;
--- a/tests/entry/fakes.rs
+++ b/tests/entry/fakes.rs
@@ -16,6 +16,7 @@
 use cassialock::core::peer::Phase;
 use cassialock::core::relay as core_relay;
 use cassialock::core::route::servers::Class;
+use cassialock::core::route::servers::cold::Stated;
 use cassialock::core::time::Time;
 use cassialock::core::usage::WindowCounts;
 use cassialock::entry::Entry;
@@ -282,6 +283,7 @@
             slots: 8,
             is_leaving: false,
             class: Class::OnDemand,
+            cold: Stated::default(),
         }),
     }
 }
