--- a/src/entry/backends/mod.rs
+++ b/src/entry/backends/mod.rs
@@ -17,6 +17,8 @@
 use crate::core::route::servers::Servers;
 use crate::core::route::servers::Vm;
 use crate::core::route::servers::closure::Opening;
+use crate::core::route::servers::cold::Source;
+use crate::core::route::servers::cold::Stated;
 use crate::core::route::servers::notice::Departure;
 use crate::core::route::speed::Unlearned;
 use crate::core::route::speed::Work;
@@ -25,6 +27,7 @@
 use crate::entry::adapter::BackendServer;
 use crate::telemetry::events::Event;
 
+pub mod cold;
 pub mod in_flight;
 pub mod placing;
 
@@ -54,6 +57,8 @@
     pub server: BackendServer,
     /// Start of the trial that the attempt is, if the server turned requests away.
     pub trial: Option<Time>,
+    /// Time at which the request was counted against the rate of the server, if it is cold.
+    pub paced: Option<Time>,
     /// Sizes of the request and load of the server when it was chosen.
     pub work: Work,
     /// Predicted time until the response begins, if enough is known.
@@ -108,6 +113,7 @@
         let mut state = self.state.lock().unwrap();
         let mut present: Vec<Name> = list.iter().map(|server| server.instance.clone()).collect();
         present.sort_unstable();
+        let stated = cold::stated(&list);
         let mut events = Vec::new();
         for server in list {
             events.extend(state.upsert(server));
@@ -122,6 +128,7 @@
             events.extend(state.remove_or_hold(&instance, now));
         }
         state.rebuild();
+        state.record_cold(&stated, Source::Listing, now);
         events
     }
 
@@ -158,6 +165,7 @@
             return Vec::new();
         }
         let mut state = self.state.lock().unwrap();
+        let stated = cold::stated(changes.iter().filter_map(|(_, server)| server.as_ref()));
         let mut events = Vec::new();
         for (instance, server) in changes {
             match server {
@@ -166,6 +174,7 @@
             }
         }
         state.rebuild();
+        state.record_cold(&stated, Source::Record, now);
         events
     }
 
@@ -184,6 +193,7 @@
     /// Returns the reason if there is no server that accepts a request.
     pub fn choose(&self, criteria: &Criteria<'_>, now: Time) -> Result<ChosenBackend, Unavailable> {
         let mut state = self.state.lock().unwrap();
+        state.servers.record_activity(now);
         let request = RouteRequest {
             session: criteria.session,
             ..RouteRequest::default()
@@ -209,6 +219,7 @@
             };
             let candidates = state.servers.candidates(&filter, &request, now);
             if let Some(at) = state.policy.choose(&request, &candidates, criteria.random) {
+                state.count_diverted(&filter, &request, criteria.random, now);
                 return state.take(candidates[at].id.clone(), now);
             }
         }
@@ -270,6 +281,7 @@
         service: &str,
         domains: &[Name],
         trial: Option<&Name>,
+        now: Time,
     ) -> Vec<DomainServers> {
         let state = self.state.lock().unwrap();
         let is_other = |server: &BackendServer| Some(&server.version) != trial;
@@ -289,6 +301,7 @@
                 .find(|counts| counts.domain == server.domain && *server.service == *service);
             let Some(counts) = counts else { continue };
             let is_trial = has_others && !is_other(server);
+            counts.cold += u32::from(state.is_starting(server, now));
             match (server.class, server.is_leaving) {
                 (Class::Reclaimable, false) if is_trial => counts.trial.reclaimable += 1,
                 (Class::OnDemand, false) if is_trial => counts.trial.on_demand += 1,
@@ -376,13 +389,14 @@
     fn take(&mut self, id: Name, now: Time) -> Result<ChosenBackend, Unavailable> {
         let server = self.registered.get(&id).cloned();
         let server = server.ok_or(Unavailable::NoServer)?;
-        self.servers.spend_rate(&id, now);
+        let paced = self.servers.spend_rate(&id, now).then_some(now);
         let trial = self.servers.begin_trial(&id, now);
         self.servers.begin_probe(&id, now);
         Ok(ChosenBackend {
             id,
             server,
             trial,
+            paced,
             work: Work::default(),
             forecast: None,
         })
@@ -401,6 +415,7 @@
         let is_leaving = server.is_leaving || self.servers.has_announced(id);
         BackendServer {
             is_leaving,
+            cold: Stated::Missing,
             ..server
         }
     }
