Count how often the servers of a service report waiting requests

The decision how many servers to order lacks a figure that grows before requests are late. Each response of a model server (one whose load report states its slots) now counts into a decaying fraction by service, which SpeedTable::utilization returns.

--- a/src/core/route/speed.rs
+++ b/src/core/route/speed/mod.rs
@@ -4,6 +4,9 @@
 
 use crate::core::time::Time;
 
+pub mod sum;
+pub mod table;
+
 /// Sizes of a request on which the time to its response depends.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Work {
@@ -31,6 +34,17 @@
     pub age: Duration,
 }
 
+/// How busy the servers of a service are, from the load reports in their responses.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Utilization {
+    /// Fraction of the responses whose load report showed a waiting request, 0 to 1.
+    pub busy: f64,
+    /// Weight of the responses, which halves every 2 s.
+    pub samples: f64,
+    /// Age of the newest of them.
+    pub age: Duration,
+}
+
 /// What is known of the time that requests take.
 pub trait Estimates {
     /// Returns the expected time until a response of an average server begins, or `None`
--- a/src/entry/backends/in_flight.rs
+++ b/src/entry/backends/in_flight.rs
@@ -6,11 +6,13 @@
 use crate::core::Name;
 use crate::core::route::servers::notice::Change;
 use crate::core::route::servers::notice::Notice;
+use crate::core::route::servers::notice::Origin;
 use crate::core::route::servers::notice::Receipt;
 use crate::core::route::servers::silence::Suspicion;
 use crate::core::time::Time;
 use crate::entry::Entry;
 use crate::entry::backends::ChosenBackend;
+use crate::entry::backends::State;
 
 /// Counts a request as in flight at a server until dropped.
 pub struct InFlight {
@@ -78,6 +80,10 @@
     pub fn record_notice(&self, notice: &Notice, receipt: &Receipt) -> Vec<Change> {
         let mut state = self.entry.backends.state.lock().unwrap();
         let changes = state.servers.record_notice(&self.id, notice, receipt);
+        // As for the servers, a report of another exchange is not used.
+        if receipt.origin == Origin::Own && !notice.is_misdirected {
+            state.record_load(&self.id, notice, receipt.now);
+        }
         if changes.contains(&Change::Leaving)
             && let Some(server) = state.registered.get_mut(&self.id)
         {
@@ -110,6 +116,17 @@
     }
 }
 
+impl State {
+    /// Records the load that a server reports, as a part of that of its service.
+    fn record_load(&mut self, id: &str, notice: &Notice, now: Time) {
+        if let Some(load) = &notice.load
+            && let Some(server) = self.registered.get(id)
+        {
+            self.speeds.record_load(&server.service, load, now);
+        }
+    }
+}
+
 impl Drop for InFlight {
     fn drop(&mut self) {
         let mut state = self.entry.backends.state.lock().unwrap();
--- a/src/entry/backends/mod.rs
+++ b/src/entry/backends/mod.rs
@@ -17,6 +17,7 @@
 use crate::core::route::servers::closure::Opening;
 use crate::core::route::servers::notice::Departure;
 use crate::core::route::speed::Work;
+use crate::core::route::speed::table::SpeedTable;
 use crate::core::time::Time;
 use crate::entry::Entry;
 use crate::entry::adapter::BackendServer;
@@ -35,6 +36,7 @@
 struct State {
     registered: NameMap<BackendServer>,
     servers: Servers,
+    speeds: SpeedTable,
     policy: SessionAffinity,
     removal_filter: RemovalFilter,
 }
@@ -87,6 +89,7 @@
             state: Mutex::new(State {
                 registered: NameMap::new(),
                 servers: Servers::new(node.clone(), domain.clone()),
+                speeds: SpeedTable::new(),
                 policy: SessionAffinity::new(),
                 removal_filter: RemovalFilter::new(),
             }),
@@ -334,6 +337,11 @@
         f(&mut self.state.lock().unwrap().servers)
     }
 
+    /// Calls `f` with what this entry knows of the speeds of the servers.
+    pub fn with_speeds<T>(&self, f: impl FnOnce(&mut SpeedTable) -> T) -> T {
+        f(&mut self.state.lock().unwrap().speeds)
+    }
+
     /// Records what another entry tells, and returns the server if it was not known to
     /// leave.
     pub fn record_departure(&self, departure: &Departure, now: Time) -> Option<BackendServer> {
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -33,5 +33,6 @@
 mod scaling;
 mod silence;
 mod slowness;
+mod speed;
 mod sse;
 mod usage;
