Learn the speeds of servers jointly by all entries

Servers of a service differ in speed, and an entry sees each of them once in ten seconds. Entries now fit the expected time of each service and the ratio of each server to it from the times of responses whose servers state how long work takes, and share decayed sums in one new datagram (at the end of the enum): to aggregators, between them and back, or to all in a mesh. The size of a message follows from the number of its receivers. Load reports by service take the same path. Where servers state neither the time of work nor slots, nothing is recorded or sent.

A new test covers the load header and invalid figures.

--- a/src/core/route/speed/mod.rs
+++ b/src/core/route/speed/mod.rs
@@ -4,8 +4,40 @@
 
 use crate::core::time::Time;
 
+pub mod fit;
+mod fits;
+pub mod merge;
+mod outbox;
+pub mod share;
+mod sources;
 pub mod sum;
 pub mod table;
+mod track;
+
+/// What of a response was timed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Kind {
+    /// Time to the first bytes of a stream.
+    First = 0,
+    /// Time per token of a stream after its first bytes.
+    Pace = 1,
+    /// Time to the end of a plain response.
+    Plain = 2,
+}
+
+impl Kind {
+    /// All kinds in the order of their numbers.
+    pub const ALL: [Kind; 3] = [Kind::First, Kind::Pace, Kind::Plain];
+
+    /// Returns the label used in logs and metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Kind::First => "first",
+            Kind::Pace => "pace",
+            Kind::Plain => "plain",
+        }
+    }
+}
 
 /// Sizes of a request on which the time to its response depends.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -49,6 +81,8 @@
 pub trait Estimates {
     /// Returns the expected time until a response of an average server begins, or `None`
     /// before enough responses were seen.
+    ///
+    /// This is the time at the usual speed: `work.work_percent` is not applied to it.
     fn expected_first(&self, service: &str, work: &Work) -> Option<Duration>;
 
     /// Returns how long work takes at a server.
--- a/src/entry/backends/in_flight.rs
+++ b/src/entry/backends/in_flight.rs
@@ -1,6 +1,7 @@
 //! Requests in flight at backend servers.
 
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use crate::core::Name;
@@ -9,10 +10,13 @@
 use crate::core::route::servers::notice::Origin;
 use crate::core::route::servers::notice::Receipt;
 use crate::core::route::servers::silence::Suspicion;
+use crate::core::route::speed::Kind;
+use crate::core::route::speed::Work;
 use crate::core::time::Time;
 use crate::entry::Entry;
 use crate::entry::backends::ChosenBackend;
 use crate::entry::backends::State;
+use crate::entry::speeds;
 
 /// Counts a request as in flight at a server until dropped.
 pub struct InFlight {
@@ -20,6 +24,9 @@
     id: Name,
     sent: Time,
     trial: Option<Time>,
+    work: Work,
+    /// Time of the first data of a stream.
+    first: OnceLock<Time>,
 }
 
 impl InFlight {
@@ -33,12 +40,18 @@
             id: chosen.id.clone(),
             sent: entry.clock.now(),
             trial: chosen.trial,
+            work: chosen.work,
+            first: OnceLock::new(),
         }
     }
 
     /// Records a response and its latency relative to the route's target.
-    pub fn record_success(&self, target: Duration) {
-        let latency = self.entry.clock.now().since(self.sent);
+    ///
+    /// `kind` is what its latency tells of the speed of the server, if anything: the first
+    /// data of a stream or the end of a plain response.
+    pub fn record_success(&self, target: Duration, kind: Option<Kind>) {
+        let now = self.entry.clock.now();
+        let latency = now.since(self.sent);
         let ratio = latency.as_secs_f64() / target.as_secs_f64().max(0.001);
         let mut state = self.entry.backends.state.lock().unwrap();
         // One millisecond stands for 1 % of the target, so that routes with
@@ -46,6 +59,27 @@
         state
             .servers
             .record_success(&self.id, Duration::from_secs_f64(ratio / 10.0));
+        let Some(kind) = kind else { return };
+        if kind == Kind::First {
+            let _ = self.first.set(now);
+        }
+        let learned = state.record_speed(self, kind, latency, now);
+        drop(state);
+        if let Some((service, ratio)) = learned {
+            speeds::count_prediction(&service, ratio);
+        }
+    }
+
+    /// Records the end of a stream, which tells the time per token.
+    pub fn record_end(&self) {
+        let Some(first) = self.first.get().filter(|_| self.work.output_tokens >= 2.0) else {
+            return;
+        };
+        let now = self.entry.clock.now();
+        // The first data holds at least one of the tokens.
+        let each = now.since(*first).div_f64(self.work.output_tokens - 1.0);
+        let mut state = self.entry.backends.state.lock().unwrap();
+        state.record_speed(self, Kind::Pace, each, now);
     }
 
     /// Records that the server failed.
@@ -119,12 +153,44 @@
 impl State {
     /// Records the load that a server reports, as a part of that of its service.
     fn record_load(&mut self, id: &str, notice: &Notice, now: Time) {
-        if let Some(load) = &notice.load
-            && let Some(server) = self.registered.get(id)
+        if let Some(load) = notice.load.filter(|load| load.slots.is_some())
+            && let Some(service) = self.registered.get(id).map(|row| row.service.clone())
         {
-            self.speeds.record_load(&server.service, load, now);
+            self.listed_speeds().record_load(&service, &load, now);
         }
     }
+
+    /// Records how long a response took, if the server stated with it how long work takes
+    /// at the moment.
+    ///
+    /// Returns the service and the time relative to the predicted one, if there was one.
+    fn record_speed(
+        &mut self,
+        request: &InFlight,
+        kind: Kind,
+        took: Duration,
+        now: Time,
+    ) -> Option<(Name, f64)> {
+        let InFlight { id, work, sent, .. } = request;
+        let (load, reported) = self.servers.get(id)?.last_load()?;
+        let stated = load.work_percent.filter(|_| reported >= *sent)?;
+        // The request was worked on between the two statements.
+        let percent = work
+            .work_percent
+            .map_or(stated, |before| before.midpoint(stated));
+        let work = Work {
+            work_percent: Some(percent),
+            ..*work
+        };
+        let service = self.registered.get(id)?.service.clone();
+        let speeds = self.listed_speeds();
+        let ratio = match kind {
+            Kind::First => speeds.record(&service, id, &work, took, now),
+            Kind::Pace => speeds.record_pace(&service, id, &work, took, now),
+            Kind::Plain => speeds.record_plain(&service, id, &work, took, now),
+        };
+        Some((service, ratio?))
+    }
 }
 
 impl Drop for InFlight {
--- a/src/entry/backends/mod.rs
+++ b/src/entry/backends/mod.rs
@@ -342,6 +342,11 @@
         f(&mut self.state.lock().unwrap().speeds)
     }
 
+    /// Calls `f` with what this entry knows of the speeds, to which the servers are known.
+    pub fn with_listed_speeds<T>(&self, f: impl FnOnce(&mut SpeedTable) -> T) -> T {
+        f(self.state.lock().unwrap().listed_speeds())
+    }
+
     /// Records what another entry tells, and returns the server if it was not known to
     /// leave.
     pub fn record_departure(&self, departure: &Departure, now: Time) -> Option<BackendServer> {
@@ -445,6 +450,25 @@
             })
             .collect();
         self.servers.update(&vms);
+        if self.speeds.is_listed() {
+            self.list_speeds();
+        }
+    }
+
+    fn list_speeds(&mut self) {
+        let rows = self.registered.iter();
+        self.speeds
+            .set_servers(rows.map(|(id, server)| (id, &server.service)));
+    }
+
+    /// Returns the speeds, once something is recorded of them.
+    ///
+    /// An entry whose servers report nothing does not keep the list of servers for them.
+    fn listed_speeds(&mut self) -> &mut SpeedTable {
+        if !self.speeds.is_listed() {
+            self.list_speeds();
+        }
+        &mut self.speeds
     }
 
     fn slots(&self, service: &str) -> u32 {
--- a/src/entry/call/forward.rs
+++ b/src/entry/call/forward.rs
@@ -11,6 +11,7 @@
 
 use crate::core::Name;
 use crate::core::retry::Cause;
+use crate::core::route::speed::Kind;
 use crate::core::sse;
 use crate::core::sse::EventBuffer;
 use crate::core::sse::EventOrder;
@@ -110,7 +111,9 @@
             Err(_) => return Err((self.fail(attempt, Cause::Silent), Box::new(self))),
         };
         let status = response.head.status;
-        attempt.in_flight.record_success(self.route.target_latency);
+        let kind = status.is_success().then_some(Kind::Plain);
+        let target = self.route.target_latency;
+        attempt.in_flight.record_success(target, kind);
         let latency = attempt.in_flight.age();
         self.record_outcome(&mut attempt, status.is_server_error(), latency);
         self.record_progress(&mut attempt, true);
@@ -295,9 +298,10 @@
             let attempt = &mut upstream.attempt;
             self.call.record_progress(attempt, false);
             if !std::mem::replace(&mut upstream.has_data, true) {
-                attempt
-                    .in_flight
-                    .record_success(self.call.route.target_latency);
+                let is_stream = self.call.route.kind.is_stream();
+                let kind = is_stream.then_some(Kind::First);
+                let target = self.call.route.target_latency;
+                attempt.in_flight.record_success(target, kind);
                 let latency = attempt.in_flight.age();
                 self.call.record_outcome(attempt, false, latency);
             }
@@ -376,6 +380,7 @@
             return;
         };
         self.call.record_progress(&mut upstream.attempt, true);
+        upstream.attempt.in_flight.record_end();
         self.call
             .record_completion(&upstream.attempt.server, 200, self.bytes, self.resumes);
         if !upstream.is_closing && !upstream.attempt.in_flight.is_server_leaving() {
--- a/src/entry/membership/datagrams.rs
+++ b/src/entry/membership/datagrams.rs
@@ -18,6 +18,8 @@
 use crate::core::route::servers::evacuation::Evacuations;
 use crate::core::route::servers::limit::LimitEnd;
 use crate::core::route::servers::notice::Departure;
+use crate::core::route::speed::share::Audience;
+use crate::core::route::speed::share::Message;
 use crate::core::time::Time;
 use crate::entry::Entry;
 use crate::entry::evacuations;
@@ -29,6 +31,7 @@
 use crate::entry::moves::exchange::PromotionReport;
 use crate::entry::notices;
 use crate::entry::relay;
+use crate::entry::speeds;
 use crate::error::Error;
 use crate::frame;
 use crate::telemetry::events::Event;
@@ -55,6 +58,8 @@
     LimitEnds(Vec<LimitEnd>),
     /// The newest window whose usage the lease holder has claimed.
     UsageClaimed(u64),
+    /// What the sender knows of the speeds and the load of backend servers.
+    Speeds(Box<Message>),
 }
 
 /// Binds the UDP socket for messages between entries.
@@ -164,6 +169,10 @@
     }
     let targets = mesh_targets(entry, &own.node);
     send_heartbeat(entry, socket, &targets, own).await;
+    if !targets.is_empty() {
+        let message = speeds::own_message(entry, Audience::Mesh(targets.len()));
+        send_speeds(entry, socket, &targets, message).await;
+    }
     send_news(entry, socket, &targets, Scope::Own).await;
 }
 
@@ -215,6 +224,17 @@
     send(entry, socket, to, &Datagram::Heartbeat(Box::new(heartbeat))).await;
 }
 
+async fn send_speeds(
+    entry: &Entry,
+    socket: &UdpSocket,
+    to: &[SocketAddr],
+    message: Option<Message>,
+) {
+    if let Some(message) = message {
+        send(entry, socket, to, &Datagram::Speeds(Box::new(message))).await;
+    }
+}
+
 /// Returns the addresses of all other entries.
 fn mesh_targets(entry: &Entry, own: &Name) -> Vec<SocketAddr> {
     let now = entry.clock.now();
@@ -247,6 +267,12 @@
         entry.events.write(event.with("domain", &*own.domain));
     }
     send_heartbeat(entry, socket, &aggregators, own).await;
+    if !aggregators.is_empty() {
+        let message = speeds::own_message(entry, Audience::Aggregators(aggregators.len()));
+        send_speeds(entry, socket, &aggregators, message).await;
+    }
+    let reported = digest.as_ref().map_or(0, |(_, reporters)| reporters.len());
+    let mut receiving = 0;
     let scope = if digest.is_some() {
         Scope::All
     } else {
@@ -256,12 +282,17 @@
     if let Some((summary, receivers)) = summary {
         let datagram = Datagram::Summary(Box::new(summary));
         send(entry, socket, &receivers, &datagram).await;
+        receiving = receivers.len();
+        let message = speeds::domain_message(entry, Audience::Domains(reported, receiving));
+        send_speeds(entry, socket, &receivers, message).await;
         informed.extend(receivers);
     }
     if let Some((digest, reporters)) = digest {
         apply_digest(entry, &digest);
         let datagram = Datagram::Digest(Box::new(digest));
         send(entry, socket, &reporters, &datagram).await;
+        let message = speeds::fleet_message(entry, Audience::Reporters(reported, receiving));
+        send_speeds(entry, socket, &reporters, message).await;
         informed.extend(reporters);
     }
     informed.sort_unstable();
@@ -289,6 +320,7 @@
         Ok(Datagram::UsageClaimed(window)) => {
             entry.usage.record_claimed(window, entry.cluster_time());
         }
+        Ok(Datagram::Speeds(message)) => speeds::merge(entry, from, &message),
         Ok(Datagram::LimitEnds(ends)) => notices::record_limit_ends(entry, from, &ends),
         Ok(Datagram::Evacuations(evacuations)) => evacuations::merge(entry, from, evacuations),
         Ok(Datagram::Moves(reports)) => {
--- a/src/entry/membership/mod.rs
+++ b/src/entry/membership/mod.rs
@@ -146,6 +146,12 @@
         self.state.lock().unwrap().incarnation
     }
 
+    /// Returns the incarnation of this process and the number of its last round.
+    pub fn number(&self) -> (u64, u64) {
+        let state = self.state.lock().unwrap();
+        (state.incarnation, state.seq)
+    }
+
     /// Sets the lease that this entry holds and announces in its heartbeats.
     pub fn set_lease(&self, lease: Option<Lease>) {
         self.state.lock().unwrap().lease = lease;
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -64,6 +64,7 @@
 pub mod relay;
 pub mod service_load;
 pub mod settings;
+pub mod speeds;
 pub mod usage;
 
 /// Interval of periodic maintenance.
@@ -339,6 +340,7 @@
         limits::refresh(&entry);
         backends::expire_lapsed(&entry);
         service_load::refresh(&entry);
+        speeds::report(&entry);
         quarantine::update(&entry);
         moves::judge(&entry);
         Moves::advance(&entry, entry.clock.now());
--- a/tests/contract/adapter.rs
+++ b/tests/contract/adapter.rs
@@ -5,6 +5,9 @@
 use cassialock::core::refusal::Reason;
 use cassialock::core::refusal::Refusal;
 use cassialock::core::request::RequestInfo;
+use cassialock::core::route::servers::LoadReport;
+use cassialock::core::route::servers::notice::Ignored;
+use cassialock::core::route::servers::notice::Statement;
 use cassialock::core::verdict::Verdict;
 use cassialock::entry::adapter::Content;
 use cassialock::entry::adapter::Dialect;
@@ -244,6 +247,57 @@
     ]);
 }
 
+/// Guards against acting on a time of work that no server can mean, and against a load
+/// report that is lost because of it.
+#[test]
+fn load_reports_have_two_to_four_figures() {
+    let read = |value: &str| reply(200, &[("x-cassialock-server-load", value)]).notice;
+    let load = |slots, work_percent| {
+        Some(LoadReport {
+            running: 3,
+            waiting: 1,
+            slots,
+            work_percent,
+        })
+    };
+    for (value, expected) in [
+        ("3,1", load(None, None)),
+        ("3,1,0", load(None, None)),
+        ("3,1,16", load(Some(16), None)),
+        ("3,1,16,250", load(Some(16), Some(250))),
+        (" 3, 1 ,16 , 100", load(Some(16), Some(100))),
+        ("3,1,x,10000", load(None, Some(10_000))),
+        ("3,-1,16,100", None),
+        ("3", None),
+    ] {
+        let notice = read(value);
+        assert_eq!(
+            (notice.load, notice.invalid),
+            (expected, Vec::new()),
+            "{value}"
+        );
+    }
+    for text in [
+        "0",
+        "-5",
+        "10001",
+        "1e3",
+        "99999999999",
+        "soon",
+        "NaN",
+        "inf",
+        "",
+    ] {
+        let notice = read(&format!("3,1,16,{text}"));
+        assert_eq!(notice.load, load(Some(16), None), "{text}");
+        let ignored = Ignored {
+            statement: Statement::WorkTime,
+            value: text.into(),
+        };
+        assert_eq!(notice.invalid, [ignored], "{text}");
+    }
+}
+
 #[test]
 fn four_statuses_promise_that_a_request_has_not_run() {
     for status in 200..=599 {
--- a/tests/entry/aggregation.rs
+++ b/tests/entry/aggregation.rs
@@ -7,7 +7,11 @@
 use cassialock::clock::Clock;
 use cassialock::core::Name;
 use cassialock::core::catalog::Catalog;
+use cassialock::core::route::servers::LoadReport;
 use cassialock::core::route::servers::notice::Notice;
+use cassialock::core::route::speed::Estimates;
+use cassialock::core::route::speed::Kind;
+use cassialock::core::route::speed::Work;
 use cassialock::entry::Entry;
 use cassialock::entry::adapter::Adapter;
 use cassialock::entry::adapter::Content;
@@ -202,3 +206,96 @@
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
 }
+
+/// Guards against entries that know of a server's speed and load only what they see
+/// themselves, and against recording where the servers do not state how long work takes.
+#[tokio::test]
+async fn all_entries_learn_how_fast_and_busy_servers_are() {
+    let nodes = start().await;
+    wait_agreed(&nodes).await;
+    for node in &nodes {
+        let Content::Backend(server) = fakes::backend("i-1", 1).content else {
+            panic!("not a backend server");
+        };
+        let now = node.entry.clock.now();
+        node.entry.backends.replace(vec![server], now);
+    }
+    let criteria = Criteria {
+        service: "dosel-llm",
+        version: None,
+        session: None,
+        avoid: &[],
+        has_fallback: false,
+        random: 0,
+    };
+    let respond = async |entry: &Arc<Entry>, load: LoadReport| {
+        let chosen = entry.backends.choose(&criteria, entry.clock.now()).unwrap();
+        let in_flight = InFlight::new(entry, &chosen);
+        tokio::time::sleep(Duration::from_millis(2)).await;
+        let info = ResponseInfo {
+            request_id: Some("q".into()),
+            notice: Notice {
+                load: Some(load),
+                ..Notice::default()
+            },
+            ..ResponseInfo::default()
+        };
+        notices::record(entry, "q", &chosen, &in_flight, &info);
+        in_flight.record_success(Duration::from_millis(100), Some(Kind::Plain));
+        chosen.id
+    };
+    let silent = LoadReport {
+        waiting: 1,
+        ..LoadReport::default()
+    };
+    let known = |node: &Node, id: &str| {
+        let now = node.entry.clock.now();
+        node.entry.backends.with_speeds(|speeds| {
+            let busy = speeds.utilization("dosel-llm", now);
+            let expected = speeds.expected_first("dosel-llm", &Work::default());
+            (
+                busy,
+                speeds.ratio(id, now).samples,
+                expected,
+                speeds.is_listed(),
+            )
+        })
+    };
+    let mut id = Name::from("");
+    for _ in 0..40 {
+        id = respond(&nodes[0].entry, silent).await;
+    }
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    for node in &nodes {
+        assert_eq!(known(node, &id), (None, 0.0, None, false));
+    }
+    let stated = LoadReport {
+        slots: Some(8),
+        work_percent: Some(100),
+        ..silent
+    };
+    let began = Instant::now();
+    let knows = |node: &Node| {
+        let (busy, samples, expected, _) = known(node, &id);
+        busy.is_some_and(|busy| busy.busy > 0.99 && busy.samples > 5.0)
+            && samples > 3.0
+            && expected.is_some()
+    };
+    while !nodes.iter().all(knows) {
+        let rows = || {
+            nodes
+                .iter()
+                .map(|node| known(node, &id))
+                .collect::<Vec<_>>()
+        };
+        assert!(
+            began.elapsed() < TIMEOUT,
+            "an entry was not told: {:?}",
+            rows()
+        );
+        for node in &nodes[..4] {
+            respond(&node.entry, stated).await;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
