--- a/src/core/route/servers/standing.rs
+++ b/src/core/route/servers/standing.rs
@@ -37,18 +37,18 @@
             load: server.last_load(),
             same_domain: server.vm.domain == self.domain,
             reclaimable: server.vm.class == Class::Reclaimable,
-            can_probe: server.rate_limit.is_none() && server.closure.is_none(),
+            can_probe: !self.is_paced_server(server, now) && server.closure.is_none(),
         })
     }
 
     fn allows_rate(&self, server: &Server, now: Time) -> bool {
-        if server.rate_limit.is_none() {
+        if !self.is_paced_server(server, now) {
             return true;
         }
         let versions = self.subsets.get(&server.vm.service);
         let subset = versions.and_then(|versions| versions.get(&server.vm.version));
         let is_picked = |ids: &Vec<Name>| ids.contains(&server.vm.id);
-        server.pacing_wait(now).is_zero() && subset.is_some_and(is_picked)
+        self.pacing_of(server, now).is_zero() && subset.is_some_and(is_picked)
     }
 
     /// Records what a server states in its answer to a probe sent at `sent`, and returns
--- a/src/entry/backends/in_flight.rs
+++ b/src/entry/backends/in_flight.rs
@@ -1,6 +1,7 @@
 //! Requests in flight at backend servers.
 
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use crate::core::Name;
@@ -10,10 +11,13 @@
 use crate::core::route::servers::notice::Origin;
 use crate::core::route::servers::notice::Receipt;
 use crate::core::route::servers::silence::Suspicion;
+use crate::core::route::speed::Kind;
 use crate::core::route::speed::Work;
 use crate::core::time::Time;
 use crate::entry::Entry;
 use crate::entry::backends::ChosenBackend;
+use crate::entry::backends::State;
+use crate::entry::speeds;
 
 /// Counts a request as in flight at a server until dropped.
 pub struct InFlight {
@@ -24,6 +28,8 @@
     service: Name,
     work: Work,
     forecast: Option<Forecast>,
+    /// Time of the first data of a stream.
+    first: OnceLock<Time>,
 }
 
 impl InFlight {
@@ -40,12 +46,17 @@
             service: chosen.server.service.clone(),
             work: chosen.work,
             forecast: chosen.forecast,
+            first: OnceLock::new(),
         }
     }
 
     /// Records a response and its latency relative to the route's target.
-    pub fn record_success(&self, target: Duration) {
-        let latency = self.entry.clock.now().since(self.sent);
+    ///
+    /// `kind` is what its latency tells of the speed of the server, if anything: the first
+    /// data of a stream or the end of a plain response.
+    pub fn record_success(&self, target: Duration, kind: Option<Kind>) {
+        let now = self.entry.clock.now();
+        let latency = now.since(self.sent);
         let ratio = latency.as_secs_f64() / target.as_secs_f64().max(0.001);
         let mut state = self.entry.backends.state.lock().unwrap();
         // One millisecond stands for 1 % of the target, so that routes with
@@ -54,6 +65,27 @@
             .servers
             .record_success(&self.id, Duration::from_secs_f64(ratio / 10.0));
         state.record_first(&self.service, &self.work, self.forecast, latency);
+        let Some(kind) = kind else { return };
+        if kind == Kind::First {
+            let _ = self.first.set(now);
+        }
+        let learned = state.record_speed(self, kind, latency, now);
+        drop(state);
+        if let Some((service, ratio)) = learned {
+            speeds::count_prediction(&service, ratio);
+        }
+    }
+
+    /// Records the end of a stream, which tells the time per token.
+    pub fn record_end(&self) {
+        let Some(first) = self.first.get().filter(|_| self.work.output_tokens >= 2.0) else {
+            return;
+        };
+        let now = self.entry.clock.now();
+        // The first data holds at least one of the tokens.
+        let each = now.since(*first).div_f64(self.work.output_tokens - 1.0);
+        let mut state = self.entry.backends.state.lock().unwrap();
+        state.record_speed(self, Kind::Pace, each, now);
     }
 
     /// Records that the server failed.
@@ -100,6 +132,7 @@
         {
             server.is_leaving = true;
         }
+        // As for the servers, a report of another exchange is not used.
         let load = notice.load.as_ref();
         let load = load.filter(|_| receipt.origin == Origin::Own && !notice.is_misdirected);
         let policy = load.and_then(|load| state.record_load(&self.id, load));
@@ -134,6 +167,40 @@
     }
 }
 
+impl State {
+    /// Records how long a response took, if the server stated with it how long work takes
+    /// at the moment.
+    ///
+    /// Returns the service and the time relative to the predicted one, if there was one.
+    fn record_speed(
+        &mut self,
+        request: &InFlight,
+        kind: Kind,
+        took: Duration,
+        now: Time,
+    ) -> Option<(Name, f64)> {
+        let InFlight { id, work, sent, .. } = request;
+        let (load, reported) = self.servers.get(id)?.last_load()?;
+        let stated = load.work_percent.filter(|_| reported >= *sent)?;
+        // The request was worked on between the two statements.
+        let percent = work
+            .work_percent
+            .map_or(stated, |before| before.midpoint(stated));
+        let work = Work {
+            work_percent: Some(percent),
+            ..*work
+        };
+        let service = self.registered.get(id)?.service.clone();
+        let speeds = self.listed_speeds();
+        let ratio = match kind {
+            Kind::First => speeds.record(&service, id, &work, took, now),
+            Kind::Pace => speeds.record_pace(&service, id, &work, took, now),
+            Kind::Plain => speeds.record_plain(&service, id, &work, took, now),
+        };
+        Some((service, ratio?))
+    }
+}
+
 impl Drop for InFlight {
     fn drop(&mut self) {
         let mut state = self.entry.backends.state.lock().unwrap();
--- a/src/entry/backends/mod.rs
+++ b/src/entry/backends/mod.rs
@@ -20,8 +20,8 @@
 use crate::core::route::servers::cold::Source;
 use crate::core::route::servers::cold::Stated;
 use crate::core::route::servers::notice::Departure;
-use crate::core::route::speed::Unlearned;
 use crate::core::route::speed::Work;
+use crate::core::route::speed::table::SpeedTable;
 use crate::core::time::Time;
 use crate::entry::Entry;
 use crate::entry::adapter::BackendServer;
@@ -42,9 +42,9 @@
 struct State {
     registered: NameMap<BackendServer>,
     servers: Servers,
+    speeds: SpeedTable,
     policy: SessionAffinity,
     placement: Placement,
-    estimates: Unlearned,
     removal_filter: RemovalFilter,
 }
 
@@ -100,9 +100,9 @@
             state: Mutex::new(State {
                 registered: NameMap::new(),
                 servers: Servers::new(node.clone(), domain.clone()),
+                speeds: SpeedTable::new(),
                 policy: SessionAffinity::new(),
                 placement: Placement::new(),
-                estimates: Unlearned,
                 removal_filter: RemovalFilter::new(),
             }),
         }
@@ -354,6 +354,16 @@
         f(&mut self.state.lock().unwrap().servers)
     }
 
+    /// Calls `f` with what this entry knows of the speeds of the servers.
+    pub fn with_speeds<T>(&self, f: impl FnOnce(&mut SpeedTable) -> T) -> T {
+        f(&mut self.state.lock().unwrap().speeds)
+    }
+
+    /// Calls `f` with what this entry knows of the speeds, to which the servers are known.
+    pub fn with_listed_speeds<T>(&self, f: impl FnOnce(&mut SpeedTable) -> T) -> T {
+        f(self.state.lock().unwrap().listed_speeds())
+    }
+
     /// Records what another entry tells, and returns the server if it was not known to
     /// leave.
     pub fn record_departure(&self, departure: &Departure, now: Time) -> Option<BackendServer> {
@@ -476,6 +486,25 @@
             .collect();
         self.placement.update(&vms);
         self.servers.update(&vms);
+        if self.speeds.is_listed() {
+            self.list_speeds();
+        }
+    }
+
+    fn list_speeds(&mut self) {
+        let rows = self.registered.iter();
+        self.speeds
+            .set_servers(rows.map(|(id, server)| (id, &server.service)));
+    }
+
+    /// Returns the speeds, once something is recorded of them.
+    ///
+    /// An entry whose servers report nothing does not keep the list of servers for them.
+    fn listed_speeds(&mut self) -> &mut SpeedTable {
+        if !self.speeds.is_listed() {
+            self.list_speeds();
+        }
+        &mut self.speeds
     }
 
     fn slots(&self, service: &str) -> u32 {
--- a/src/entry/backends/placing.rs
+++ b/src/entry/backends/placing.rs
@@ -67,13 +67,8 @@
         now: Time,
     ) -> Vec<(Name, BackendServer)> {
         let state = self.state.lock().unwrap();
-        let Some(query) = query(
-            &state.servers,
-            &state.estimates,
-            criteria,
-            criteria.avoid,
-            now,
-        ) else {
+        let Some(query) = query(&state.servers, &state.speeds, criteria, criteria.avoid, now)
+        else {
             return Vec::new();
         };
         let ids = state.placement.to_probe(&query, asked);
@@ -131,7 +126,7 @@
         if !self.placement.is_active(criteria.service) {
             return None;
         }
-        let query = query(&self.servers, &self.estimates, criteria, avoid, now)?;
+        let query = query(&self.servers, &self.speeds, criteria, avoid, now)?;
         self.placement.choose(&query)
     }
 
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -65,6 +65,7 @@
 pub mod relay;
 pub mod service_load;
 pub mod settings;
+pub mod speeds;
 pub mod usage;
 
 /// Interval of periodic maintenance.
@@ -341,6 +342,7 @@
         backends::expire_lapsed(&entry);
         backends::cold::refresh(&entry);
         service_load::refresh(&entry);
+        speeds::report(&entry);
         quarantine::update(&entry);
         moves::judge(&entry);
         Moves::advance(&entry, entry.clock.now());
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -35,5 +35,6 @@
 mod scaling;
 mod silence;
 mod slowness;
+mod speed;
 mod sse;
 mod usage;
--- a/tests/decisions/placement/fleet.rs
+++ b/tests/decisions/placement/fleet.rs
@@ -394,7 +394,7 @@
         entry.servers.record_success(&later.id, took / 10);
         entry.servers.record_load(&later.id, load, at);
         entry.placement.record_load(&"m".into(), &load);
-        entry.placement.record_first("m", &later.work, took);
+        entry.placement.record_first(&"m".into(), &later.work, took);
     }
 
     /// Runs the fleet for some seconds, the first of which are not judged.
