--- a/src/core/fleet/work.rs
+++ b/src/core/fleet/work.rs
@@ -13,6 +13,10 @@
 /// Weight of the requests from which on the work is known.
 const MIN_REQUESTS: f64 = 20.0;
 
+/// Growth of the shortest known time of a token with each request at an idle server, so
+/// that it follows a change of the servers within some hundred requests.
+const GROWTH: f64 = 1.001;
+
 /// Expected number of running requests up to which a server counts as idle.
 const MAX_IDLE_RUNNING: f64 = 0.5;
 
@@ -20,7 +24,8 @@
 ///
 /// Servers read prompts one after another, so this time bounds how many requests they can
 /// take, however few of their slots are in use. Responses of idle servers show it, since
-/// other responses contain the time for which their requests have waited.
+/// other responses contain the time for which their requests have waited. Load reports are
+/// late when many requests arrive at once, so the shortest mean counts.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct WorkMeter {
     /// Uncached prompt tokens of all requests, and their weight.
@@ -30,6 +35,8 @@
     idle_ms: f64,
     idle_tokens: f64,
     idle_requests: f64,
+    /// Shortest known time of a token at an idle server, in milliseconds.
+    shortest_ms: Option<f64>,
 }
 
 impl WorkMeter {
@@ -49,14 +56,18 @@
         self.idle_ms = self.idle_ms * DECAY + took.as_secs_f64() * 1_000.0;
         self.idle_tokens = self.idle_tokens * DECAY + tokens;
         self.idle_requests = self.idle_requests * DECAY + 1.0;
+        if self.idle_requests < MIN_REQUESTS || self.idle_tokens <= 0.0 {
+            return;
+        }
+        let token_ms = self.idle_ms / self.idle_tokens;
+        let known = self.shortest_ms.unwrap_or(token_ms);
+        self.shortest_ms = Some((known * GROWTH).min(token_ms));
     }
 
     /// Returns the mean work of a request, once it is known.
     pub fn mean(&self) -> Option<Duration> {
-        let is_known = self.idle_requests >= MIN_REQUESTS && self.idle_tokens > 0.0;
-        is_known.then(|| {
-            let ms = self.tokens / self.requests * self.idle_ms / self.idle_tokens;
-            Duration::from_secs_f64(ms / 1_000.0)
-        })
+        let token_ms = self.shortest_ms?;
+        let ms = self.tokens / self.requests * token_ms;
+        Some(Duration::from_secs_f64(ms / 1_000.0))
     }
 }
--- a/src/entry/backends/placing.rs
+++ b/src/entry/backends/placing.rs
@@ -13,7 +13,9 @@
 use crate::core::route::servers::notice::Change;
 use crate::core::route::servers::notice::Notice;
 use crate::core::route::speed::Estimates;
+use crate::core::route::speed::Ratio;
 use crate::core::route::speed::Work;
+use crate::core::route::speed::table::SpeedTable;
 use crate::core::time::Time;
 use crate::entry::Entry;
 use crate::entry::adapter::BackendServer;
@@ -67,8 +69,8 @@
         now: Time,
     ) -> Vec<(Name, BackendServer)> {
         let state = self.state.lock().unwrap();
-        let Some(query) = query(&state.servers, &state.speeds, criteria, criteria.avoid, now)
-        else {
+        let ratios = Ratios(&state.speeds);
+        let Some(query) = query(&state.servers, &ratios, criteria, criteria.avoid, now) else {
             return Vec::new();
         };
         let ids = state.placement.to_probe(&query, asked);
@@ -126,7 +128,8 @@
         if !self.placement.is_active(criteria.service) {
             return None;
         }
-        let query = query(&self.servers, &self.speeds, criteria, avoid, now)?;
+        let ratios = Ratios(&self.speeds);
+        let query = query(&self.servers, &ratios, criteria, avoid, now)?;
         self.placement.choose(&query)
     }
 
@@ -159,6 +162,22 @@
     }
 }
 
+/// The learned speeds of servers, without the learned times of services.
+///
+/// Placement by the linear fit of the times served fewer requests in time than the order
+/// by the work before a request.
+struct Ratios<'a>(&'a SpeedTable);
+
+impl Estimates for Ratios<'_> {
+    fn expected_first(&self, _service: &str, _work: &Work) -> Option<Duration> {
+        None
+    }
+
+    fn ratio(&self, server: &str, now: Time) -> Ratio {
+        self.0.ratio(server, now)
+    }
+}
+
 /// Returns the query for a request, if it may be placed by predicted time.
 fn query<'a>(
     servers: &'a Servers,
