Spread popular parts further, measure slowness, record what was predicted

A session that fills more servers than the three of its order met the others only at random. The time for which servers stay slow is measured from pairs of reports. Responses of servers chosen by another policy are learned from with their work, and those of trial sessions, whose work is not known, no longer enter the scale of the prior. Forecasts appear in the answered lines and as histograms.

--- a/src/core/route/parts.rs
+++ b/src/core/route/parts.rs
@@ -81,6 +81,18 @@
         held.map(|part| f64::from(part.tokens)).sum()
     }
 
+    /// Returns a server that is expected to hold a part, if there is one.
+    ///
+    /// `random` selects among them.
+    pub fn holder(&self, part: u64, random: u64, now: Time) -> Option<&Name> {
+        let from = self.rows.partition_point(|row| row.part < part);
+        let to = self.rows.partition_point(|row| row.part <= part);
+        let rows = &self.rows[from..to];
+        let at = (u128::from(random) * rows.len() as u128) >> 64;
+        let row = rows.get(at as usize)?;
+        (now.since(row.at) < RETENTION).then_some(&row.server)
+    }
+
     /// Returns the number of rows.
     pub fn len(&self) -> usize {
         self.rows.len()
--- a/src/core/route/placement.rs
+++ b/src/core/route/placement.rs
@@ -1,7 +1,8 @@
 //! Placement of requests by predicted time.
 //!
 //! The candidates of a request are the first usable servers of its session's order and one
-//! drawn at random, so the cost of a choice does not grow with the number of servers.
+//! drawn at random, from all or from those that hold the parts of its prompt. So the cost of
+//! a choice does not grow with the number of servers.
 
 use std::time::Duration;
 
@@ -37,6 +38,9 @@
 /// Maximum number of servers of an order that are looked at.
 const MAX_WALK: usize = 64;
 
+/// Seed of the random number that draws a holder of the prompt's parts.
+const HOLDER_SEED: u64 = 1;
+
 /// Maximum number of random draws for a candidate.
 const MAX_DRAWS: u64 = 16;
 
@@ -152,11 +156,28 @@
 
     /// Records a load report of a server, and returns whether its service is placed by
     /// another policy from now on.
-    pub fn record_load(&mut self, service: &Name, load: &LoadReport) -> bool {
+    ///
+    /// `before` is the previous report of the server and its time.
+    pub fn record_load(
+        &mut self,
+        service: &Name,
+        load: &LoadReport,
+        before: Option<(LoadReport, Time)>,
+        now: Time,
+    ) -> bool {
         let prior = self.priors.get_or_insert_with(service, Prior::new);
+        if let Some((before, at)) = before {
+            prior.record_slowness(&before, load, now.since(at));
+        }
         prior.record_load(load)
     }
 
+    /// Returns the mean time for which a server of a service stays slower than usual.
+    pub fn slowness(&self, service: &str) -> Option<Duration> {
+        let prior = self.priors.get(service)?;
+        Some(Duration::from_secs_f64(prior.slowness_ms() / 1_000.0))
+    }
+
     /// Records the time until a response began.
     pub fn record_first(&mut self, service: &str, work: &Work, took: Duration) {
         if let Some(prior) = self.priors.get_mut(service) {
@@ -191,6 +212,13 @@
                 }
             }
         }
+        // Once more servers than those of the order hold the parts, they are used further.
+        let drawn = xxhash_rust::xxh3::xxh3_64_with_seed(&prompt.draw.to_le_bytes(), HOLDER_SEED);
+        if let (Some(part), true) = (prompt.parts.last(), drawn % 2 == 0)
+            && let Some(id) = self.parts.holder(part.id, drawn, query.now)
+        {
+            add(id, &mut seats);
+        }
         for draw in 0..MAX_DRAWS {
             if seats.len() == CANDIDATES || seats.len() == total {
                 break;
@@ -295,6 +323,30 @@
         predictions.collect()
     }
 
+    /// Returns the work of a request at a server that was chosen by another policy.
+    pub fn work(&self, query: &Query<'_>, id: &str) -> Work {
+        let prompt = &query.prompt;
+        let (Some(prior), Some(server)) =
+            (self.priors.get(query.filter.service), query.servers.get(id))
+        else {
+            return Work::default();
+        };
+        let load = server.last_load();
+        let inputs = Inputs {
+            uncached_tokens: self.uncached_tokens(prompt, id, false, query.now),
+            output_tokens: prompt.output_tokens,
+            standing: Standing {
+                load,
+                same_domain: true,
+                reclaimable: false,
+                can_probe: false,
+            },
+            sent_tokens: self.sent_tokens(id, load, query.now),
+            ratio: query.estimates.ratio(id, query.now),
+        };
+        prior.work(&inputs, query.now)
+    }
+
     /// Places a request, or returns `None` if no candidate accepts it.
     pub fn choose(&mut self, query: &Query<'_>) -> Option<Placed> {
         let seats = self.candidates(query);
--- a/src/core/route/predicted.rs
+++ b/src/core/route/predicted.rs
@@ -9,9 +9,24 @@
 use crate::core::route::speed::Work;
 use crate::core::time::Time;
 
-/// Mean time for which a server stays slower than usual, in milliseconds.
+/// Mean time for which a server stays slower than usual, in milliseconds, as long as nothing
+/// is measured.
 const SLOWNESS_MS: f64 = 600.0;
 
+/// Number of measured ends of slowness that this assumption counts for.
+const SLOWNESS_WEIGHT: f64 = 5.0;
+
+/// Number of ends after which the weight of earlier measurements is halved.
+const MAX_SLOWNESS_WEIGHT: f64 = 200.0;
+
+/// Stated time of work, in percent of the usual, from which a server counts as slow.
+const SLOW_PERCENT: u32 = 150;
+
+/// Longest time between two reports from which the end of slowness is measured.
+///
+/// In a longer time a server may have recovered and become slow again.
+const MAX_GAP: Duration = Duration::from_millis(400);
+
 /// Mean time for which a queue lasts, in milliseconds.
 ///
 /// A queue whose report is older says little about the present one.
@@ -36,6 +51,9 @@
 /// Largest number of requests of a report that is believed.
 const MAX_REPORTED: f64 = 1_000.0;
 
+/// Age that stands for a missing report and for all older ones.
+const MAX_AGE: Duration = Duration::from_secs(3_600);
+
 /// Longest predicted time.
 const MAX_FORECAST: Duration = Duration::from_secs(10);
 
@@ -69,6 +87,10 @@
     took_ms: f64,
     tokens: f64,
     samples: f64,
+    /// Time for which slow servers were observed, in milliseconds, and the number of them
+    /// that were no longer slow at its end.
+    slow_ms: f64,
+    slow_ends: f64,
 }
 
 /// The inputs of a prediction for one candidate.
@@ -130,6 +152,34 @@
         was_active != self.is_active
     }
 
+    /// Records two reports of a server that are `gap` apart, to measure how long servers
+    /// stay slow.
+    pub fn record_slowness(&mut self, before: &LoadReport, after: &LoadReport, gap: Duration) {
+        let (Some(was), Some(is)) = (before.work_percent, after.work_percent) else {
+            return;
+        };
+        if was < SLOW_PERCENT || gap > MAX_GAP {
+            return;
+        }
+        let gap_ms = gap.as_secs_f64() * 1_000.0;
+        if is < SLOW_PERCENT {
+            self.slow_ms += gap_ms / 2.0;
+            self.slow_ends += 1.0;
+        } else {
+            self.slow_ms += gap_ms;
+        }
+        if self.slow_ends > MAX_SLOWNESS_WEIGHT {
+            self.slow_ms /= 2.0;
+            self.slow_ends /= 2.0;
+        }
+    }
+
+    /// Returns the mean time for which a server stays slower than usual, in milliseconds.
+    pub fn slowness_ms(&self) -> f64 {
+        let assumed_ms = SLOWNESS_MS * SLOWNESS_WEIGHT;
+        (self.slow_ms + assumed_ms) / (self.slow_ends + SLOWNESS_WEIGHT)
+    }
+
     /// Records the uncached tokens of a request that was placed.
     pub fn record_request(&mut self, uncached_tokens: f64) {
         if self.mean_tokens == 0.0 {
@@ -181,7 +231,7 @@
             mean + (f64::from(reported).min(MAX_REPORTED) - mean) * weight
         };
         let percent = load.work_percent.map(|percent| {
-            let excess = (f64::from(percent) - 100.0) * (-age_ms / SLOWNESS_MS).exp();
+            let excess = (f64::from(percent) - 100.0) * (-age_ms / self.slowness_ms()).exp();
             (100.0 + excess).round() as u32
         });
         Work {
@@ -215,10 +265,10 @@
         let domain = if standing.same_domain { 0.0 } else { domain };
         let time = base * percent_factor(&work) * inputs.ratio.value + domain;
         let risk = f64::from(u8::from(standing.reclaimable)) * RECLAIM_RISK;
-        let age = standing.load.map_or(Duration::MAX, |(_, at)| now.since(at));
+        let age = standing.load.map_or(MAX_AGE, |(_, at)| now.since(at));
         let forecast = time_ms.map(|_| Forecast {
             first: Duration::from_secs_f64(time / 1_000.0).min(MAX_FORECAST),
-            age,
+            age: age.min(MAX_AGE),
         });
         Prediction {
             work,
--- a/src/entry/backends/in_flight.rs
+++ b/src/entry/backends/in_flight.rs
@@ -87,6 +87,7 @@
     /// Records what the server states about itself and returns the changes.
     pub fn record_notice(&self, notice: &Notice, receipt: &Receipt) -> Vec<Change> {
         let mut state = self.entry.backends.state.lock().unwrap();
+        let before = state.last_load(&self.id);
         let changes = state.servers.record_notice(&self.id, notice, receipt);
         if changes.contains(&Change::Leaving)
             && let Some(server) = state.registered.get_mut(&self.id)
@@ -95,7 +96,7 @@
         }
         let load = notice.load.as_ref();
         let load = load.filter(|_| receipt.origin == Origin::Own && !notice.is_misdirected);
-        let policy = load.and_then(|load| state.record_load(&self.id, load));
+        let policy = load.and_then(|load| state.record_load(&self.id, load, before, receipt.now));
         drop(state);
         if let Some(policy) = policy {
             policy.write(&self.entry);
--- a/src/entry/backends/mod.rs
+++ b/src/entry/backends/mod.rs
@@ -209,7 +209,9 @@
             };
             let candidates = state.servers.candidates(&filter, &request, now);
             if let Some(at) = state.policy.choose(&request, &candidates, criteria.random) {
-                return state.take(candidates[at].id.clone(), now);
+                let work = state.work(criteria, &candidates[at].id, now);
+                let chosen = state.take(candidates[at].id.clone(), now)?;
+                return Ok(ChosenBackend { work, ..chosen });
             }
         }
         let Criteria {
--- a/src/entry/backends/placing.rs
+++ b/src/entry/backends/placing.rs
@@ -100,6 +100,7 @@
         now: Time,
     ) -> ProbeChanges {
         let mut state = self.state.lock().unwrap();
+        let before = state.last_load(id);
         let changes = state
             .servers
             .record_probe_notice(id, notice, sent, random, now);
@@ -109,7 +110,7 @@
             server.is_leaving = true;
         }
         let load = notice.load.as_ref();
-        let policy = load.and_then(|load| state.record_load(id, load));
+        let policy = load.and_then(|load| state.record_load(id, load, before, now));
         ProbeChanges { changes, policy }
     }
 }
@@ -129,11 +130,30 @@
         self.placement.choose(&query)
     }
 
+    /// Returns the work of a request at a server that was chosen by another policy.
+    pub(super) fn work(&self, criteria: &Criteria<'_>, id: &str, now: Time) -> Work {
+        let query = query(&self.servers, &self.estimates, criteria, &[], now);
+        query.map_or_else(Work::default, |query| self.placement.work(&query, id))
+    }
+
+    /// Returns the last load report of a server and its time.
+    pub(super) fn last_load(&self, id: &str) -> Option<(LoadReport, Time)> {
+        self.servers.get(id)?.last_load()
+    }
+
     /// Records a load report for the placement, and returns the change of the policy of
     /// the server's service, if any.
-    pub(super) fn record_load(&mut self, id: &str, load: &LoadReport) -> Option<PolicyChange> {
+    ///
+    /// `before` is the previous report of the server.
+    pub(super) fn record_load(
+        &mut self,
+        id: &str,
+        load: &LoadReport,
+        before: Option<(LoadReport, Time)>,
+        now: Time,
+    ) -> Option<PolicyChange> {
         let service = &self.registered.get(id)?.service;
-        let is_changed = self.placement.record_load(service, load);
+        let is_changed = self.placement.record_load(service, load, before, now);
         is_changed.then(|| PolicyChange {
             service: service.clone(),
             is_predicted: self.placement.is_active(service),
@@ -148,12 +168,17 @@
         forecast: Option<Forecast>,
         took: Duration,
     ) {
-        self.placement.record_first(service, work, took);
+        // The sessions of a trial are placed without a look at the work.
+        if *work != Work::default() {
+            self.placement.record_first(service, work, took);
+        }
         if let Some(forecast) = forecast {
             let error = took.abs_diff(forecast.first).min(MAX_ERROR);
-            let service = service.to_string();
-            metrics::histogram!("cassialock_forecast_error_seconds", "service" => service)
+            let label = || service.to_string();
+            metrics::histogram!("cassialock_forecast_error_seconds", "service" => label())
                 .record(error);
+            metrics::histogram!("cassialock_forecast_age_seconds", "service" => label())
+                .record(forecast.age);
         }
     }
 }
--- a/src/entry/call/forward.rs
+++ b/src/entry/call/forward.rs
@@ -132,6 +132,7 @@
         let elapsed = self.entry.clock.now().since(self.arrived);
         let route = self.route.name.to_string();
         metrics::histogram!("cassialock_answer_seconds", "route" => route).record(elapsed);
+        let forecast = server.forecast;
         self.entry.events.write(
             Event::for_request("answered", &self.request.id)
                 .with("route", &*self.route.name)
@@ -140,6 +141,14 @@
                 .with("bytes", bytes)
                 .with("sends", self.attempts.sends + 1)
                 .with("resumes", resumes)
+                .with(
+                    "forecast_ms",
+                    forecast.map(|f| f.first.as_secs_f64() * 1_000.0),
+                )
+                .with(
+                    "forecast_age_ms",
+                    forecast.map(|f| f.age.as_secs_f64() * 1_000.0),
+                )
                 .with("catalog_version", self.entry.catalog.version())
                 .with_ms("after_ms", elapsed),
         );
