Hedge late requests within a limit of extra work

Cause: a request that is stuck at one server waits for it up to three times its objective, although another server would answer sooner.

A repeatable request whose response has not begun within the time in which 19 of 20 do is sent to a second server; the first to begin wins. The extra work is limited in a window of 10 s, and a hedge is paid from the retry budget and leaves a quarter of its cap.

--- a/src/bin/cassialockd.rs
+++ b/src/bin/cassialockd.rs
@@ -86,6 +86,12 @@
         meta = "N"
     )]
     drain_s: Option<String>,
+    #[options(
+        no_short,
+        help = "extra work of hedged requests in percent of a service's work, 0 (off) to 20",
+        meta = "PERCENT"
+    )]
+    hedge_extra_work: Option<String>,
     #[options(no_short, help = "log format: text or json", meta = "FORMAT")]
     log_format: Option<String>,
     #[options(
@@ -109,6 +115,7 @@
             "node-service" => &self.node_service,
             "policy" => &self.policy,
             "drain-s" => &self.drain_s,
+            "hedge-extra-work" => &self.hedge_extra_work,
             "log-format" => &self.log_format,
             "log-level" => &self.log_level,
             _ => &None,
@@ -120,7 +127,7 @@
 fn main() -> ExitCode {
     let flags = Flags::parse_args_default_or_exit();
     if let Some(path) = settings_file::path() {
-        return run_entry(&path, flags.check);
+        return run_entry(&path, &flags);
     }
     let read = Settings::read(&|flag| flags.get(flag), &|name| std::env::var(name).ok());
     let settings = match read {
@@ -149,15 +156,26 @@
 }
 
 /// Runs an entry with the settings file at `path`, which the platform provides.
-fn run_entry(path: &Path, check_only: bool) -> ExitCode {
-    let settings = match settings_file::read(path) {
-        Ok(settings) => settings,
-        Err(fault) => {
-            eprintln!("cassialockd: {fault}");
-            return ExitCode::from(2);
-        }
+///
+/// What the file has no field for is read from flags and environment variables.
+fn run_entry(path: &Path, flags: &Flags) -> ExitCode {
+    let variable = |name: &str| std::env::var(name).ok();
+    let hedge_percent = node::settings::read_hedge_percent(&|flag| flags.get(flag), &variable);
+    let file = settings_file::read(path);
+    if let Err(fault) = &file {
+        eprintln!("cassialockd: {fault}");
+    }
+    if let Err(fault) = &hedge_percent {
+        eprintln!("cassialockd: {fault}");
+    }
+    let (Ok(file), Ok(hedge_percent)) = (file, hedge_percent) else {
+        return ExitCode::from(2);
     };
-    if check_only {
+    let settings = entry::settings::Settings {
+        hedge_percent,
+        ..file
+    };
+    if flags.check {
         println!("all settings are valid");
         return ExitCode::SUCCESS;
     }
--- a/src/core/limit/quota.rs
+++ b/src/core/limit/quota.rs
@@ -253,6 +253,12 @@
         self.admitted
     }
 
+    /// Returns whether the workspace has no units left.
+    pub fn is_used_up(&mut self, now: Time) -> bool {
+        self.advance(now);
+        self.rate > 0.0 && self.level <= 0.0
+    }
+
     /// Returns the recent demand at this node, in units per second.
     pub fn demand(&self, now: Time) -> f64 {
         let age = now.since(self.created_at).max(MIN_AGE);
--- a/src/core/quarantine/mod.rs
+++ b/src/core/quarantine/mod.rs
@@ -369,6 +369,12 @@
         self.clearance(feature).is_some_and(|at| at > crashed_at)
     }
 
+    /// Returns whether a request has a feature that may have crashed a server.
+    pub fn has_suspect(&self, features: &Features, now: Time) -> bool {
+        let mut features = features.iter();
+        features.any(|feature| self.is_suspected(feature, now))
+    }
+
     /// Returns whether a crash or a block before `at` speaks against a feature that
     /// was not cleared since.
     fn is_suspected(&self, feature: Feature, at: Time) -> bool {
--- a/src/core/retry/mod.rs
+++ b/src/core/retry/mod.rs
@@ -7,6 +7,7 @@
 use crate::core::verdict::Verdict;
 
 pub mod crash;
+pub mod hedge;
 
 /// Retries that each first attempt adds to the budget.
 const BUDGET_RATIO: f64 = 0.1;
@@ -14,6 +15,15 @@
 /// Maximum number of retries in the budget.
 const BUDGET_CAP: f64 = 50.0;
 
+/// Fraction of the cap that hedges leave for retries.
+const HEDGE_RESERVE: f64 = 0.25;
+
+/// Maximum deposits above the cap that are kept for hedges.
+///
+/// With many nodes the cap of each is one retry, which alone pays for no hedge that
+/// leaves a quarter of it.
+const MAX_SPARE: f64 = 1.0;
+
 /// Maximum number of attempts for one request, including the first.
 pub const MAX_ATTEMPTS: usize = 6;
 
@@ -42,6 +52,8 @@
     Closed,
     /// The response was still arriving at the deadline.
     Overdue,
+    /// Another attempt of the same request was preferred, though this one had not failed.
+    Hedged,
 }
 
 impl Cause {
@@ -59,6 +71,7 @@
             Cause::Leaving => "leaving",
             Cause::Closed => "closed",
             Cause::Overdue => "overdue",
+            Cause::Hedged => "hedged",
         }
     }
 
@@ -79,7 +92,10 @@
     ///
     /// A response may be overdue because the caller reads slowly.
     pub const fn is_server_fault(self) -> bool {
-        !matches!(self, Cause::Busy | Cause::Closed | Cause::Overdue)
+        !matches!(
+            self,
+            Cause::Busy | Cause::Closed | Cause::Overdue | Cause::Hedged
+        )
     }
 
     /// Returns whether the failure counts against the version of the server.
@@ -236,6 +252,8 @@
     ratio: f64,
     cap: f64,
     balance: f64,
+    /// Deposits above the cap, which only hedges may use.
+    spare: f64,
 }
 
 impl Default for RetryBudget {
@@ -244,6 +262,7 @@
             ratio: BUDGET_RATIO,
             cap: BUDGET_CAP,
             balance: BUDGET_CAP,
+            spare: 0.0,
         }
     }
 }
@@ -263,7 +282,9 @@
 
     /// Adds the deposit for a first attempt.
     pub fn deposit(&mut self) {
-        self.balance = (self.balance + self.ratio).min(self.cap);
+        let sum = self.balance + self.ratio;
+        self.balance = sum.min(self.cap);
+        self.spare = (self.spare + (sum - self.cap).max(0.0)).min(MAX_SPARE);
     }
 
     /// Returns whether the budget allows a retry.
@@ -280,6 +301,23 @@
         true
     }
 
+    /// Returns whether the budget allows a hedge, which leaves a quarter of the cap.
+    pub fn has_hedge(&self) -> bool {
+        let reserve = self.cap * HEDGE_RESERVE;
+        self.balance - 1.0 >= reserve || self.spare >= 1.0 && self.balance >= reserve
+    }
+
+    /// Withdraws one hedge, or returns false if that leaves too little for retries.
+    pub fn withdraw_hedge(&mut self) -> bool {
+        let is_allowed = self.has_hedge();
+        if is_allowed && self.spare >= 1.0 {
+            self.spare -= 1.0;
+        } else if is_allowed {
+            self.balance -= 1.0;
+        }
+        is_allowed
+    }
+
     /// Decides whether to retry a failed attempt and withdraws the retry from the budget.
     pub fn decide(&mut self, context: &RetryContext) -> Decision {
         let can_repeat = context.repeatable || context.cause.verdict() == Verdict::NotRun;
--- a/src/core/route/servers/mod.rs
+++ b/src/core/route/servers/mod.rs
@@ -21,6 +21,7 @@
 pub mod closure;
 pub mod evacuation;
 pub mod health;
+pub mod hedge;
 pub mod limit;
 pub mod notice;
 pub mod silence;
--- a/src/entry/backends/mod.rs
+++ b/src/entry/backends/mod.rs
@@ -22,6 +22,7 @@
 use crate::entry::adapter::BackendServer;
 use crate::telemetry::events::Event;
 
+mod hedge;
 pub mod in_flight;
 
 /// Slots assumed per server of a service that has no servers.
--- a/src/entry/call/attempt.rs
+++ b/src/entry/call/attempt.rs
@@ -23,6 +23,7 @@
 use crate::entry::backends::in_flight::InFlight;
 use crate::entry::call::AttemptError;
 use crate::entry::call::Call;
+use crate::entry::call::hedge::Waited;
 use crate::entry::call::receive::HeadResult;
 use crate::entry::call::receive::ReceivedHead;
 use crate::entry::call::resend::Resend;
@@ -118,7 +119,13 @@
     pub async fn attempt(&mut self) -> Result<ServerResponse, AttemptError> {
         let server = self.choose(Scope::All).map_err(AttemptError::Unavailable)?;
         let sent = self.start(server).await.map_err(AttemptError::Failed)?;
-        self.wait_head(sent).await.map_err(AttemptError::Failed)
+        self.begin_wait(&sent.attempt);
+        let response = self.wait_head(sent).await.map_err(AttemptError::Failed)?;
+        // The response to a stream begins with its first data.
+        if !self.route.kind.is_stream() && !response.head.status.is_server_error() {
+            self.record_begun();
+        }
+        Ok(response)
     }
 
     /// Connects to a server and starts an attempt at it.
@@ -159,19 +166,22 @@
     pub async fn wait_head(&mut self, mut sent: Sent) -> Result<ServerResponse, Cause> {
         loop {
             let (limit, left) = (self.silence_limit(), self.time_left());
-            let waiting = tokio::time::timeout(limit.min(left), &mut sent.head);
-            match waiting.await {
-                Ok(head) => return self.receive(sent.attempt, head),
-                Err(_) if left <= limit => return Err(self.fail(sent.attempt, Cause::Silent)),
-                Err(_) => {}
-            }
             let (entry, id) = (Arc::clone(&self.entry), self.request.id.clone());
             let is_usable = move |head: &HeadResult| {
                 let head = head.as_ref().ok();
                 head.is_some_and(|received| received.is_usable(&entry, &id))
             };
             let Sent { attempt, head } = &mut sent;
-            match self.relieve(attempt, head, is_usable, true).await {
+            let waiting = self.wait_or_hedge(attempt, &mut *head, &is_usable, limit.min(left));
+            let relief = match waiting.await {
+                Waited::Begun(head) => return self.receive(sent.attempt, head),
+                Waited::Silent if left <= limit => {
+                    return Err(self.fail(sent.attempt, Cause::Silent));
+                }
+                Waited::Silent => self.relieve(attempt, head, is_usable, true).await,
+                Waited::Hedged(relief) => relief,
+            };
+            match relief {
                 Relief::Resumed(head) => return self.receive(sent.attempt, head),
                 Relief::Failed(head, next) => {
                     let silent = std::mem::replace(&mut sent, *next);
@@ -181,12 +191,14 @@
                     }
                 }
                 Relief::Replaced(response) => {
-                    self.fail(sent.attempt, Cause::Silent);
+                    let cause = sent.attempt.loss();
+                    self.fail(sent.attempt, cause);
                     return Ok(*response);
                 }
                 Relief::Moved(next) => {
                     let silent = std::mem::replace(&mut sent, *next);
-                    self.fail(silent.attempt, Cause::Silent);
+                    let cause = silent.attempt.loss();
+                    self.fail(silent.attempt, cause);
                 }
                 Relief::Expired => return Err(self.fail(sent.attempt, Cause::Silent)),
             }
@@ -208,7 +220,7 @@
         }
         // A streaming request counts as run from its first event on, and the forwarder
         // counts it then.
-        let is_incomplete = matches!(cause, Cause::Silent | Cause::Cut);
+        let is_incomplete = matches!(cause, Cause::Silent | Cause::Cut | Cause::Hedged);
         let has_run = !(is_incomplete && self.route.kind.is_stream());
         if cause.verdict() == Verdict::MayHaveRun && has_run {
             self.count_run();
@@ -389,6 +401,22 @@
         }
     }
 
+    /// Returns the cause that ends the attempt if another server replaces this one.
+    pub fn loss(&self) -> Cause {
+        if self.suspicion.is_some() {
+            Cause::Silent
+        } else {
+            Cause::Hedged
+        }
+    }
+
+    /// Ends an attempt of which nothing was sent.
+    pub fn discard(mut self) {
+        if let Some(pending) = self.pending.take() {
+            pending.settle();
+        }
+    }
+
     /// Records that the server has sent something.
     pub fn record_life(&mut self, now: Time) {
         self.heard_at = now;
--- a/src/entry/call/forward.rs
+++ b/src/entry/call/forward.rs
@@ -20,6 +20,7 @@
 use crate::entry::call::attempt::Sent;
 use crate::entry::call::attempt::ServerResponse;
 use crate::entry::call::delivery::Started;
+use crate::entry::call::hedge::Waited;
 use crate::entry::call::memory;
 use crate::entry::call::outcome::Stage;
 use crate::entry::call::silence::Relief;
@@ -230,11 +231,6 @@
         if left.is_zero() && self.call.route.kind.is_stream() {
             return Err(Cause::Overdue);
         }
-        match tokio::time::timeout(limit.min(left), upstream.body.frame()).await {
-            Ok(frame) => return Ok(Some(frame)),
-            Err(_) if left <= limit => return Err(Cause::Silent),
-            Err(_) => {}
-        }
         // Before anything was forwarded, another run may begin anew.
         let can_resume = self.call.is_resumable() && self.call.last_event.is_some();
         let can_move = self.bytes == 0 || can_resume;
@@ -243,18 +239,28 @@
             None => !is_inside_event,
         };
         let Upstream { attempt, body, .. } = upstream;
-        let relieving = self
-            .call
-            .relieve(attempt, body.frame(), is_usable, can_move);
-        match relieving.await {
+        let limit_or_left = limit.min(left);
+        let call = &mut self.call;
+        let waiting = call.wait_or_hedge(attempt, body.frame(), is_usable, limit_or_left);
+        let relief = match waiting.await {
+            Waited::Begun(frame) => return Ok(Some(frame)),
+            Waited::Silent if left <= limit => return Err(Cause::Silent),
+            Waited::Silent => {
+                call.relieve(attempt, body.frame(), is_usable, can_move)
+                    .await
+            }
+            Waited::Hedged(relief) => relief,
+        };
+        let loss = attempt.loss();
+        match relief {
             Relief::Resumed(frame) => Ok(Some(frame)),
             Relief::Failed(_, sent) => self.move_to(*sent, Cause::Cut).await,
             Relief::Replaced(response) => {
-                self.fail_upstream(Cause::Silent);
+                self.fail_upstream(loss);
                 self.take_over(*response);
                 Ok(None)
             }
-            Relief::Moved(sent) => self.move_to(*sent, Cause::Silent).await,
+            Relief::Moved(sent) => self.move_to(*sent, loss).await,
             Relief::Expired => Err(Cause::Silent),
         }
     }
@@ -303,6 +309,7 @@
             }
         }
         if !std::mem::replace(&mut self.has_data, true) {
+            self.call.record_begun();
             let first_event = self.call.entry.clock.now().since(self.call.arrived);
             let route = self.call.route.name.to_string();
             metrics::histogram!("cassialock_first_event_seconds", "route" => route)
--- a/src/entry/call/mod.rs
+++ b/src/entry/call/mod.rs
@@ -29,6 +29,7 @@
 use crate::entry::backends::Unavailable;
 use crate::entry::call::attempt::Scope;
 use crate::entry::call::deadlines::Deadlines;
+use crate::entry::call::hedge::HedgeState;
 use crate::entry::call::outcome::Outcome;
 use crate::entry::call::outcome::Stage;
 use crate::entry::call::prepare::prepare;
@@ -43,6 +44,7 @@
 pub mod deadlines;
 mod delivery;
 pub mod forward;
+pub mod hedge;
 pub mod memory;
 pub mod outcome;
 pub mod prepare;
@@ -90,6 +92,7 @@
     usage_counted: bool,
     /// Id of the last stream event that the caller has received.
     last_event: Option<Name>,
+    hedge: HedgeState,
     outcome: Outcome,
 }
 
--- a/src/entry/call/prepare.rs
+++ b/src/entry/call/prepare.rs
@@ -21,6 +21,7 @@
 use crate::entry::call::Call;
 use crate::entry::call::RETRY_JITTER;
 use crate::entry::call::deadlines::Deadlines;
+use crate::entry::call::hedge::HedgeState;
 use crate::entry::call::memory::MemoryReservation;
 use crate::entry::call::outcome::Outcome;
 use crate::entry::call::outcome::Stage;
@@ -113,6 +114,7 @@
         tried: Vec::new(),
         features,
         usage_counted: false,
+        hedge: HedgeState::default(),
         outcome: Outcome::new(entry, request.id.clone(), arrived, Stage::Server),
         request,
     })
--- a/src/entry/call/silence.rs
+++ b/src/entry/call/silence.rs
@@ -7,6 +7,9 @@
 use std::future::pending;
 use std::time::Duration;
 
+use tokio::time::Instant;
+
+use crate::core::retry::Cause;
 use crate::core::retry::Decision;
 use crate::entry::call::Call;
 use crate::entry::call::attempt::Attempt;
@@ -14,13 +17,9 @@
 use crate::entry::call::attempt::Sent;
 use crate::entry::call::attempt::ServerResponse;
 use crate::entry::quarantine;
+use crate::silence;
 use crate::telemetry::events::Event;
 
-/// Time for which a stream may be at two servers at once.
-///
-/// The protocol allows 400 ms, in which the cancellation must reach the server too.
-const MAX_OVERLAP: Duration = Duration::from_millis(300);
-
 /// Interval at which another server is looked for again.
 pub const SEARCH_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -53,6 +52,20 @@
     }
 }
 
+/// How a race between two servers that have the same request ended.
+pub(super) enum Raced<T> {
+    /// The first server sent something; holds the other attempt.
+    Resumed(T, Box<Attempt>),
+    /// The first server failed with this result before the other one began to answer.
+    Failed(T, Box<Sent>),
+    /// The other server has begun to answer.
+    Replaced(Box<ServerResponse>),
+    /// Neither server has begun to answer in time.
+    Pending(Box<Sent>),
+    /// The other server failed, which is recorded.
+    OtherFailed,
+}
+
 impl Call {
     /// Waits for a silent server to go on, and for another server meanwhile if
     /// `can_move`.
@@ -113,47 +126,69 @@
             };
             self.count_attempt(&mut sent.attempt);
             let overlap = if self.route.kind.is_stream() {
-                MAX_OVERLAP
+                silence::MAX_OVERLAP
             } else {
                 self.time_left()
             };
-            let until = tokio::time::Instant::now() + overlap;
-            let head = tokio::select! {
-                biased;
-                result = &mut next => return if is_usable(&result) {
-                    Relief::Resumed(result)
-                } else {
-                    Relief::Failed(result, Box::new(sent))
-                },
-                head = &mut sent.head => head,
-                () = tokio::time::sleep_until(until) => return Relief::Moved(Box::new(sent)),
-            };
-            // Causes of failure are recorded where they are found.
-            let received = self.receive(sent.attempt, head);
-            let checked = received.and_then(|response| self.check_successor(response));
-            let Ok(mut response) = checked else {
-                continue;
-            };
-            if !self.route.kind.is_stream() {
-                return Relief::Replaced(Box::new(response));
+            let until = Instant::now() + overlap;
+            let check = Call::check_successor;
+            match self
+                .race_with(&mut next, &is_usable, sent, until, check)
+                .await
+            {
+                Raced::Resumed(result, _) => return Relief::Resumed(result),
+                Raced::Failed(result, sent) => return Relief::Failed(result, sent),
+                Raced::Replaced(response) => return Relief::Replaced(response),
+                Raced::Pending(sent) => return Relief::Moved(sent),
+                Raced::OtherFailed => {}
             }
-            tokio::select! {
-                biased;
-                result = &mut next => return if is_usable(&result) {
-                    Relief::Resumed(result)
-                } else {
-                    Relief::Replaced(Box::new(response))
-                },
-                begun = response.begin() => match begun {
-                    Ok(()) => return Relief::Replaced(Box::new(response)),
-                    Err(cause) => {
-                        self.fail(response.attempt, cause);
-                    }
-                },
-                () = tokio::time::sleep_until(until) => {
-                    return Relief::Replaced(Box::new(response));
+        }
+    }
+
+    /// Waits until `until` for a usable result of the first server or of the one of
+    /// `sent`, whose response is accepted by `check`.
+    pub(super) async fn race_with<T>(
+        &mut self,
+        mut next: impl Future<Output = T> + Unpin,
+        is_usable: impl Fn(&T) -> bool,
+        mut sent: Sent,
+        until: Instant,
+        check: impl Fn(&mut Call, ServerResponse) -> Result<ServerResponse, Cause>,
+    ) -> Raced<T> {
+        let head = tokio::select! {
+            biased;
+            result = &mut next => return if is_usable(&result) {
+                Raced::Resumed(result, Box::new(sent.attempt))
+            } else {
+                Raced::Failed(result, Box::new(sent))
+            },
+            head = &mut sent.head => head,
+            () = tokio::time::sleep_until(until) => return Raced::Pending(Box::new(sent)),
+        };
+        // Causes of failure are recorded where they are found.
+        let received = self.receive(sent.attempt, head);
+        let checked = received.and_then(|response| check(self, response));
+        let Ok(mut response) = checked else {
+            return Raced::OtherFailed;
+        };
+        if !self.route.kind.is_stream() {
+            return Raced::Replaced(Box::new(response));
+        }
+        tokio::select! {
+            biased;
+            result = &mut next => if is_usable(&result) {
+                Raced::Resumed(result, Box::new(response.attempt))
+            } else {
+                Raced::Replaced(Box::new(response))
+            },
+            begun = response.begin() => match begun {
+                Ok(()) => Raced::Replaced(Box::new(response)),
+                Err(cause) => {
+                    self.fail(response.attempt, cause);
+                    Raced::OtherFailed
                 }
-            }
+            },
+            () = tokio::time::sleep_until(until) => Raced::Replaced(Box::new(response)),
         }
     }
 
--- a/src/entry/limits.rs
+++ b/src/entry/limits.rs
@@ -105,6 +105,23 @@
         self.state.lock().unwrap().budget(service).withdraw()
     }
 
+    /// Returns whether the retry budget of a service allows a hedge.
+    pub fn has_hedge(&self, service: &Name) -> bool {
+        self.state.lock().unwrap().budget(service).has_hedge()
+    }
+
+    /// Deducts one hedge from the retry budget, or returns false if that leaves too little.
+    pub fn spend_hedge(&self, service: &Name) -> bool {
+        self.state.lock().unwrap().budget(service).withdraw_hedge()
+    }
+
+    /// Returns whether a workspace has used up its quota.
+    pub fn is_used_up(&self, workspace: &str, now: Time) -> bool {
+        let mut state = self.state.lock().unwrap();
+        let quota = state.quotas.get_mut(workspace);
+        quota.is_some_and(|quota| quota.is_used_up(now))
+    }
+
     /// Returns the demand and the admitted units at this entry, by workspace.
     pub fn quota_usage(&self, now: Time) -> NameMap<peer::QuotaUsage> {
         let state = self.state.lock().unwrap();
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -32,6 +32,7 @@
 use crate::entry::adapter::ObjectKind;
 use crate::entry::backends::Backends;
 use crate::entry::catalog::CurrentCatalog;
+use crate::entry::hedging::Hedging;
 use crate::entry::limits::Limits;
 use crate::entry::membership::Membership;
 use crate::entry::membership::datagrams;
@@ -54,6 +55,7 @@
 pub mod catalog;
 pub mod evacuations;
 pub mod feeds;
+pub mod hedging;
 pub mod leader;
 pub mod limits;
 pub mod listeners;
@@ -104,6 +106,8 @@
     pub relay: Relay,
     /// Counts of started requests for usage reports.
     pub usage: Usage,
+    /// Hedged requests.
+    pub hedging: Hedging,
     /// Load of the services, which determines the servers to order.
     pub service_load: ServiceLoad,
     /// Version moves in progress.
@@ -140,6 +144,7 @@
             membership: Membership::new(),
             relay: Relay::new(),
             usage: Usage::new(settings.bounds.window),
+            hedging: Hedging::new(),
             service_load: ServiceLoad::new(),
             moves: Moves::new(),
             settings: arc_swap::ArcSwap::from_pointee(settings),
@@ -217,8 +222,13 @@
 
     /// Applies changed settings.
     ///
-    /// Listening addresses keep the values that they had at the start.
+    /// Listening addresses and the limit of hedged requests keep the values that they had
+    /// at the start.
     pub fn reload(&self, settings: Settings) {
+        let settings = Settings {
+            hedge_percent: self.settings.load().hedge_percent,
+            ..settings
+        };
         if **self.settings.load() == settings {
             return;
         }
@@ -339,6 +349,7 @@
         limits::refresh(&entry);
         backends::expire_lapsed(&entry);
         service_load::refresh(&entry);
+        hedging::refresh(&entry);
         quarantine::update(&entry);
         moves::judge(&entry);
         Moves::advance(&entry, entry.clock.now());
--- a/src/entry/quarantine.rs
+++ b/src/entry/quarantine.rs
@@ -150,6 +150,13 @@
         .with_retry_after(block.ends_at().since(now)))
 }
 
+/// Returns whether a request is suspected of crashing servers.
+pub fn is_suspected(entry: &Entry, features: &Features) -> bool {
+    let now = entry.cluster_time();
+    let quarantine = entry.crashes.quarantine.lock().unwrap();
+    quarantine.has_suspect(features, now)
+}
+
 /// Blocks the features that the known crashes speak against.
 pub fn update(entry: &Entry) {
     let now = entry.cluster_time();
--- a/src/entry/service_load.rs
+++ b/src/entry/service_load.rs
@@ -22,6 +22,8 @@
 struct State {
     loads: NameMap<LoadEstimator>,
     local: NameMap<LocalCounts>,
+    /// Traffic of all entries as of the last sample.
+    total: NameMap<Traffic>,
     sampled_at: Option<Time>,
 }
 
@@ -64,6 +66,13 @@
         self.state.lock().unwrap().traffic()
     }
 
+    /// Returns the requests for a service that were in progress at all entries when they
+    /// were last counted.
+    pub fn in_flight(&self, service: &str) -> f64 {
+        let state = self.state.lock().unwrap();
+        state.total.get(service).map_or(0.0, |sum| sum.in_flight)
+    }
+
     /// Returns the number of servers with `slots` each that a service needs.
     pub fn needed_servers(&self, service: &str, slots: u32, now: Time) -> CapacityEstimate {
         let state = self.state.lock().unwrap();
@@ -109,6 +118,7 @@
     let mut state = entry.service_load.state.lock().unwrap();
     state.sample(&in_flight, now);
     let Some(traffic) = entry.membership.traffic(state.traffic(), now) else {
+        state.total = state.traffic();
         return;
     };
     let scaled = catalog.services.iter();
@@ -119,4 +129,5 @@
             .get_or_insert_with(service, LoadEstimator::new)
             .record(&sum, now);
     }
+    state.total = traffic;
 }
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -37,6 +37,12 @@
     pub millicores: u32,
     /// Whether the whole deployment starts for the first time.
     pub is_first_start: bool,
+    /// Extra work of hedged requests in percent of the work of a service; 0 if they are
+    /// off.
+    ///
+    /// It comes from the flags and not from the settings file, so it does not change at
+    /// a reload.
+    pub hedge_percent: f64,
     /// Guarantees of the deployment.
     pub bounds: Bounds,
 }
--- a/src/load/deploy/mod.rs
+++ b/src/load/deploy/mod.rs
@@ -200,6 +200,7 @@
             policy: self.spec.policy,
             drain: Duration::from_secs(10),
             log_format: Format::Text,
+            hedge_percent: self.spec.hedge_percent,
             log_level: LevelFilter::Warn,
         };
         let running = node::start(settings).await?;
--- a/src/load/deploy/spec.rs
+++ b/src/load/deploy/spec.rs
@@ -27,6 +27,8 @@
     pub order_path: &'static str,
     /// Routing policy of the nodes.
     pub policy: PolicyKind,
+    /// Extra work of hedged requests in percent; 0 if they are off.
+    pub hedge_percent: f64,
     /// Processing costs of the engines.
     pub costs: Costs,
 }
@@ -50,6 +52,7 @@
             ],
             order_path: "/deposits",
             policy: PolicyKind::Scored,
+            hedge_percent: 0.0,
             costs: Costs::default(),
         }
     }
@@ -72,6 +75,7 @@
             ],
             order_path: "/approvals",
             policy: PolicyKind::Scored,
+            hedge_percent: 0.0,
             costs: Costs::default(),
         }
     }
@@ -90,6 +94,13 @@
         self
     }
 
+    /// Sets the extra work of hedged requests in percent.
+    #[must_use]
+    pub fn with_hedging(mut self, percent: f64) -> Self {
+        self.hedge_percent = percent;
+        self
+    }
+
     /// Sets the routing policy.
     #[must_use]
     pub fn with_policy(mut self, policy: PolicyKind) -> Self {
--- a/src/node/admission.rs
+++ b/src/node/admission.rs
@@ -168,6 +168,13 @@
             .collect()
     }
 
+    /// Returns whether a workspace has used more than its share.
+    pub fn is_over_quota(&self, workspace: &str, now: Time) -> bool {
+        let mut state = self.state.lock().unwrap();
+        let share = state.shares.get_mut(workspace);
+        share.is_some_and(|share| share.bucket.take(0.0, now).is_err())
+    }
+
     /// Waits until a request may run and returns its permit.
     ///
     /// # Errors
--- a/src/node/api/llm/call/mod.rs
+++ b/src/node/api/llm/call/mod.rs
@@ -37,6 +37,7 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+mod hedge;
 pub mod outcome;
 pub mod silence;
 
@@ -63,6 +64,10 @@
     tried_servers: Vec<Name>,
     silent_servers: Vec<Name>,
     last_failure: Option<FailedAttempt>,
+    /// Whether the request may have run in an attempt that was cancelled beside another.
+    may_have_run: bool,
+    /// Whether the first attempt was waited for, so that it is not hedged again.
+    is_hedge_decided: bool,
 }
 
 /// Data of a failed attempt that the next one needs.
@@ -134,6 +139,8 @@
             tried_servers: Vec::new(),
             silent_servers: Vec::new(),
             last_failure: None,
+            may_have_run: false,
+            is_hedge_decided: false,
             completion,
             limits,
             record,
@@ -195,14 +202,21 @@
     ) -> CallOutcome {
         let mut waiter = Waiter::new(node, self.record.deadline, sink, signals);
         loop {
-            let mut attempt = match open.take() {
+            let attempt = match open.take() {
                 Some(attempt) => attempt,
                 None => match self.begin(node, &mut permit).await {
                     Ok(attempt) => attempt,
                     Err(refusal) => return CallOutcome::Refused(refusal),
                 },
             };
-            let mut outcome = waiter.read(&mut attempt, &mut self.record.progress).await;
+            let hedging = self.hedge(node, attempt, &mut waiter, &mut permit);
+            let (mut attempt, mut outcome) = match hedging.await {
+                Relief::Open(mut attempt) => {
+                    let outcome = waiter.read(&mut attempt, &mut self.record.progress).await;
+                    (*attempt, outcome)
+                }
+                Relief::Ended(attempt, outcome) => (*attempt, outcome),
+            };
             if outcome == AttemptOutcome::Silent {
                 let relieving = self.relieve(node, attempt, &mut waiter, &mut permit);
                 (attempt, outcome) = match relieving.await {
@@ -359,7 +373,8 @@
     /// Returns whether the request may have run, in part or as a whole.
     fn verdict(&self) -> Verdict {
         let ran = |failure: &FailedAttempt| failure.cause.verdict() == Verdict::MayHaveRun;
-        if self.record.progress.tokens() > 0 || self.last_failure.as_ref().is_some_and(ran) {
+        let has_begun = self.record.progress.tokens() > 0 || self.may_have_run;
+        if has_begun || self.last_failure.as_ref().is_some_and(ran) {
             Verdict::MayHaveRun
         } else {
             Verdict::NotRun
--- a/src/node/api/llm/call/silence.rs
+++ b/src/node/api/llm/call/silence.rs
@@ -177,7 +177,7 @@
     }
 }
 
-fn to_cause(received: Received) -> Cause {
+pub(super) fn to_cause(received: Received) -> Cause {
     match received {
         Err(AttemptOutcome::Failed(cause)) => cause,
         _ => Cause::Failed,
--- a/src/node/api/plain.rs
+++ b/src/node/api/plain/mod.rs
@@ -33,6 +33,7 @@
 use crate::node::admission::Demand;
 use crate::node::api;
 use crate::node::api::headers::RequestHeaders;
+use crate::node::api::plain::hedge::Raced;
 use crate::node::api::refusals;
 use crate::node::backends;
 use crate::node::backends::InFlightGuard;
@@ -41,9 +42,12 @@
 use crate::node::backends::plain;
 use crate::node::backends::plain::BackendResponse;
 use crate::node::claims::ClaimStore;
+use crate::node::hedging;
 use crate::web;
 use crate::web::Body;
 
+mod hedge;
+
 /// Cost of one call in admission control, in tokens.
 const CALL_COST: u32 = 16;
 
@@ -162,13 +166,6 @@
     })
 }
 
-/// Result of one attempt and the server that it was sent to.
-struct AttemptResult {
-    server: SelectedServer,
-    result: Result<BackendResponse, Cause>,
-    latency: Duration,
-}
-
 impl Call {
     fn demand(&self) -> Demand {
         Demand {
@@ -186,7 +183,7 @@
     }
 
     /// Makes one attempt, or returns `None` if no server is available.
-    async fn attempt(&mut self, node: &Arc<Node>, new_connection: bool) -> Option<AttemptResult> {
+    async fn attempt(&mut self, node: &Arc<Node>, new_connection: bool) -> Option<Raced> {
         let request = RouteRequest::default();
         let selection = Selection {
             name: &self.service_name,
@@ -198,24 +195,21 @@
         };
         let server = backends::select(node, &selection)?;
         let _in_flight = InFlightGuard::new(node, &server.id, &[]);
+        if self.attempts == 0 {
+            hedging::count(node, &self.subject());
+        }
         self.attempts += 1;
-        let started = Instant::now();
-        let timeout = self.time_left(node.clock.now());
-        let result = plain::run(node, &server, &self.request, new_connection, timeout).await;
-        let result = result.map_err(|cause| backends::adjust_cause(node, &server.id, cause));
-        let latency = started.elapsed();
-        if result.is_ok() {
+        let raced = self.race(node, &server, new_connection).await;
+        if raced.result.is_ok() {
             let mut servers = node.servers.lock().unwrap();
-            servers.record_success(&server.id, latency);
+            servers.record_success(&raced.server.id, raced.latency);
         }
-        Some(AttemptResult {
-            server,
-            result,
-            latency,
-        })
+        self.attempts += usize::from(raced.other.is_some());
+        self.tried_servers.extend(raced.other.clone());
+        Some(raced)
     }
 
-    fn record(&self, node: &Node, attempt: &AttemptResult) {
+    fn record(&self, node: &Node, attempt: &Raced) {
         let failed = match &attempt.result {
             Ok(response) => response.status.is_server_error(),
             Err(cause) if cause.is_version_fault() => true,
@@ -280,7 +274,7 @@
                 Ok(response) => return Ok(response),
                 Err(cause) => cause,
             };
-            verdict = verdict.max(cause.verdict());
+            verdict = verdict.max(attempt.other_verdict).max(cause.verdict());
             new_connection = true;
             match self.decide_retry(node, &attempt.server, cause) {
                 Decision::Again => {}
--- a/src/node/backends/engine.rs
+++ b/src/node/backends/engine.rs
@@ -277,6 +277,11 @@
         self.limit
     }
 
+    /// Takes the time that was waited already off the silence that is allowed.
+    pub fn shorten_limit(&mut self, waited: Duration) {
+        self.limit = self.limit.saturating_sub(waited);
+    }
+
     /// Waits for the next event; an end without the end marker counts as cut.
     pub fn receive(&mut self) -> BoxFuture<'_, Received> {
         Box::pin(async {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -27,6 +27,7 @@
 use crate::core::name_map::NameMap;
 use crate::core::retry::RetryBudget;
 use crate::core::retry::crash::CrashHistory;
+use crate::core::retry::hedge::Hedges;
 use crate::core::route::Policy;
 use crate::core::route::servers::Servers;
 use crate::core::time::Time;
@@ -50,6 +51,7 @@
 pub mod claims;
 pub mod config;
 pub mod discovery;
+pub mod hedging;
 pub mod logging;
 pub mod members;
 pub mod moves;
@@ -102,6 +104,8 @@
     pub crashes: Mutex<CrashHistory>,
     /// Retry budget.
     pub budget: Mutex<RetryBudget>,
+    /// What is known of the requests to hedge them.
+    pub hedges: Mutex<Hedges>,
     /// Routing policy.
     pub policy: Mutex<Box<dyn Policy>>,
     /// Version moves declared in the configuration.
@@ -197,6 +201,7 @@
             metrics::gauge!("cassialock_queued_requests", "node" => self.label(), "service" => service)
                 .set(requests as f64);
         }
+        hedging::update_gauges(self);
         metrics::gauge!("cassialock_config_number", "node" => self.label())
             .set(self.config.number() as f64);
         self.metrics.render()
@@ -296,6 +301,7 @@
         gossip: Mutex::new(Gossip::new()),
         crashes: Mutex::new(CrashHistory::new()),
         budget: Mutex::new(RetryBudget::new()),
+        hedges: Mutex::new(Hedges::new()),
         policy: Mutex::new(settings.policy.build()),
         moves: Moves::new(),
         admission: Admission::new(),
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -6,6 +6,7 @@
 use log::LevelFilter;
 
 use crate::core::Name;
+use crate::core::retry::hedge;
 use crate::core::route::PolicyKind;
 use crate::node::logging::Format;
 
@@ -36,8 +37,11 @@
     }
 }
 
+/// Flag of the extra work of hedged requests.
+const HEDGE_FLAG: &str = "hedge-extra-work";
+
 /// All settings of a node.
-pub const SETTINGS: [Setting; 11] = [
+pub const SETTINGS: [Setting; 12] = [
     setting("id", "CASSIALOCK_ID", "", "name of this node"),
     setting(
         "domain",
@@ -87,6 +91,12 @@
         "25",
         "drain time: how long open requests may run when the node drains, in seconds",
     ),
+    setting(
+        HEDGE_FLAG,
+        "CASSIALOCK_HEDGE_EXTRA_WORK",
+        "0",
+        "extra work of hedged requests in percent of the work of a service, 0 (off) to 20",
+    ),
     setting(
         "log-format",
         "CASSIALOCK_LOG_FORMAT",
@@ -161,6 +171,9 @@
     pub policy: PolicyKind,
     /// Drain time: how long open requests may run when the node drains.
     pub drain: Duration,
+    /// Extra work of hedged requests in percent of the work of a service; 0 if they are
+    /// off.
+    pub hedge_percent: f64,
     /// Format of log lines.
     pub log_format: Format,
     /// Most verbose level that is logged.
@@ -266,6 +279,7 @@
         let node_service = reader.read("node-service", parse_name);
         let policy = reader.read("policy", str::parse);
         let drain = reader.read("drain-s", parse_seconds);
+        let hedge_percent = reader.read(HEDGE_FLAG, hedge::parse_percent);
         let log_format = reader.read("log-format", str::parse);
         let log_level = reader.read("log-level", |text| {
             text.parse().map_err(|_| format!("unknown level {text:?}"))
@@ -280,8 +294,32 @@
             node_service: node_service?,
             policy: policy?,
             drain: drain?,
+            hedge_percent: hedge_percent?,
             log_format: log_format?,
             log_level: log_level?,
         })
     }
 }
+
+/// Reads only the extra work of hedged requests, in percent of the work of a service.
+///
+/// An entry with a settings file reads it in this way, since the file has no such field.
+///
+/// # Errors
+///
+/// Returns the setting if its value is invalid.
+pub fn read_hedge_percent(
+    flag: &dyn Fn(&str) -> Option<String>,
+    variable: &dyn Fn(&str) -> Option<String>,
+) -> Result<f64, InvalidSetting> {
+    let mut reader = Reader {
+        flag,
+        variable,
+        invalid: Vec::new(),
+    };
+    let percent = reader.read(HEDGE_FLAG, hedge::parse_percent);
+    match reader.invalid.pop() {
+        Some(invalid) => Err(invalid),
+        None => Ok(percent.unwrap_or_default()),
+    }
+}
--- a/src/platform/settings_file.rs
+++ b/src/platform/settings_file.rs
@@ -152,6 +152,8 @@
         memory_limit: wire.limits.memory_mb.unwrap_or(DEFAULT_MEMORY_MB) * 1_000_000,
         is_first_start: wire.bootstrap,
         millicores: (wire.limits.cpu_share * wire.limits.cpu_cores.unwrap_or(1.0) * 1_000.0) as u32,
+        // The file has no such field; the flags of the daemon set it.
+        hedge_percent: 0.0,
         bounds: bounds(&wire.bounds)?,
     })
 }
--- a/src/silence.rs
+++ b/src/silence.rs
@@ -4,6 +4,12 @@
 //! keeps the request until another one has begun to answer it.
 
 use std::future::Future;
+use std::time::Duration;
+
+/// Time for which a stream may be at two servers at once.
+///
+/// The protocol allows 400 ms, in which the cancellation must reach the server too.
+pub const MAX_OVERLAP: Duration = Duration::from_millis(300);
 
 /// Makes attempts at other servers.
 pub trait Others: Send {
--- a/tests/contract/cli.rs
+++ b/tests/contract/cli.rs
@@ -157,3 +157,44 @@
     assert_eq!(code, 2);
     assert!(text.contains("--listen: expected an IP number and port"));
 }
+
+/// Guards against a limit of hedged requests that is ignored, or whose fault is not named,
+/// in one of the modes of the daemon.
+#[test]
+fn the_limit_of_hedged_requests_is_checked_in_both_modes() {
+    let file = write_file(
+        "hedging.toml",
+        "node = \"n\"\nip = \"127.0.0.1\"\nzone = \"a\"\nport_range = [7600, 7615]\n\
+         [platform]\naddress = \"127.0.0.1:1\"\n",
+    );
+    let check = |has_file: bool, flag: Option<&str>, variable: Option<&str>| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_cassialockd"));
+        command.arg("--check");
+        if has_file {
+            command.env("CASSIALOCK_CONFIG", &file);
+        } else {
+            command.args(["--id", "n", "--domain", "d", "--listen", "127.0.0.1:0"]);
+            command.args(["--peer-listen", "127.0.0.1:0", "--platform", "127.0.0.1:1"]);
+        }
+        if let Some(flag) = flag {
+            command.args(["--hedge-extra-work", flag]);
+        }
+        if let Some(variable) = variable {
+            command.env("CASSIALOCK_HEDGE_EXTRA_WORK", variable);
+        }
+        let output = command.output().unwrap();
+        let text = String::from_utf8(output.stderr).unwrap();
+        (output.status.code().unwrap(), text)
+    };
+    for has_file in [false, true] {
+        for valid in [(None, None), (Some("5"), Some("90")), (None, Some("0.5"))] {
+            assert_eq!(check(has_file, valid.0, valid.1), (0, String::new()));
+        }
+        let (code, text) = check(has_file, Some("21"), Some("5"));
+        assert_eq!(code, 2);
+        assert!(text.contains("--hedge-extra-work: expected a percentage"));
+        let (code, text) = check(has_file, None, Some("-1"));
+        assert_eq!(code, 2);
+        assert!(text.contains("CASSIALOCK_HEDGE_EXTRA_WORK (environment"));
+    }
+}
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -11,6 +11,7 @@
 mod exposure;
 mod fixtures;
 mod fleet;
+mod hedge;
 mod lease;
 mod limit;
 mod member;
--- a/tests/entry/fakes.rs
+++ b/tests/entry/fakes.rs
@@ -251,6 +251,7 @@
         memory_limit: 260_000_000,
         millicores: 250,
         is_first_start: false,
+        hedge_percent: 0.0,
         bounds: Bounds::default(),
     }
 }
@@ -272,17 +273,22 @@
     Object {
         name: instance.into(),
         revision,
-        content: Content::Backend(BackendServer {
-            instance: instance.into(),
-            started_ms: 1,
-            service: "dosel-llm".into(),
-            address: ([127, 0, 0, 1], 9).into(),
-            domain: "rionegro".into(),
-            version: "v1".into(),
-            slots: 8,
-            is_leaving: false,
-            class: Class::OnDemand,
-        }),
+        content: Content::Backend(server(instance)),
+    }
+}
+
+/// Returns the registration of a backend server.
+pub fn server(instance: &str) -> BackendServer {
+    BackendServer {
+        instance: instance.into(),
+        started_ms: 1,
+        service: "dosel-llm".into(),
+        address: ([127, 0, 0, 1], 9).into(),
+        domain: "rionegro".into(),
+        version: "v1".into(),
+        slots: 8,
+        is_leaving: false,
+        class: Class::OnDemand,
     }
 }
 
--- a/tests/entry/harness.rs
+++ b/tests/entry/harness.rs
@@ -57,7 +57,7 @@
     lines: channel::Receiver<String>,
     runs: Arc<AtomicUsize>,
     pub cancelled: Arc<AtomicUsize>,
-    entry: Arc<Entry>,
+    pub entry: Arc<Entry>,
     stop: watch::Sender<bool>,
     task: JoinHandle<()>,
     _port: TcpSocket,
@@ -272,7 +272,19 @@
         Self::with_objects(objects).await
     }
 
-    pub async fn with_objects(mut objects: Vec<Object>) -> Self {
+    /// Starts an entry that may hedge requests up to `percent` of the work, with a backend
+    /// server at each of the addresses.
+    pub async fn with_hedging(addresses: &[SocketAddr], percent: f64) -> Self {
+        let servers: Vec<(SocketAddr, &str)> = addresses.iter().map(|at| (*at, "v1")).collect();
+        let change = |settings: &mut Settings| settings.hedge_percent = percent;
+        Self::with_settings(backend_objects(&servers), change).await
+    }
+
+    pub async fn with_objects(objects: Vec<Object>) -> Self {
+        Self::with_settings(objects, |_| {}).await
+    }
+
+    async fn with_settings(mut objects: Vec<Object>, change: impl Fn(&mut Settings)) -> Self {
         objects.push(Object {
             name: "main".into(),
             revision: 1,
@@ -289,6 +301,7 @@
         settings.front = Some(front);
         // The fake store does not confirm the catalog after the first list.
         settings.bounds.revoke_delay = Duration::from_secs(60);
+        change(&mut settings);
         let clock = Clock::new();
         let (sender, lines) = channel::unbounded();
         let events = EventLog::with_sender("entry-2".into(), clock, Some(sender));
