Add cassialock explain

Cause: an operator cannot see why a node prefers a server without sending a request.

Change: POST /v1/explain and the subcommand print the candidates in order with the parts of their cost, the age of the load reports, and the other servers with the reason. Nothing is sent, counted or drawn at random.

Measured: system explained 1 passed: the server named is the one that the next request goes to.

--- a/src/bin/cassialock.rs
+++ b/src/bin/cassialock.rs
@@ -8,8 +8,10 @@
 use cassialock::cli::commands;
 use cassialock::cli::commands::MoveRequest;
 use cassialock::cli::commands::PatchRequest;
+use cassialock::cli::explain;
 use cassialock::demo;
 use cassialock::error::Error;
+use cassialock::node::explain::Question;
 use gumdrop::Options;
 
 /// Reads and changes the state of a cassialock cluster.
@@ -52,6 +54,8 @@
     Entries(EntriesFlags),
     #[options(help = "print the status of nodes, backend servers and moves")]
     Status(NoFlags),
+    #[options(help = "print where a request would go now and why, without sending it")]
+    Explain(ExplainFlags),
     #[options(help = "run a small cluster in one process and inject faults into it")]
     Demo(DemoFlags),
 }
@@ -164,6 +168,25 @@
     workspace: Option<String>,
 }
 
+#[derive(Debug, Options)]
+struct ExplainFlags {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(no_short, help = "service of the request", meta = "NAME")]
+    service: Option<String>,
+    #[options(no_short, help = "workspace of the request", meta = "NAME")]
+    workspace: Option<String>,
+    #[options(
+        no_short,
+        help = "maximum number of tokens in the completion",
+        meta = "N",
+        default = "128"
+    )]
+    max_tokens: u32,
+    #[options(free, help = "prompt, for model services")]
+    prompt: Option<String>,
+}
+
 #[derive(Debug, Options)]
 struct DemoFlags {
     #[options(help = "print this help")]
@@ -219,6 +242,15 @@
             commands::entries(&context, &require(entries.workspace.as_ref(), "WORKSPACE")?)
         }
         Some(Command::Status(_)) => commands::status(&context),
+        Some(Command::Explain(flags)) => {
+            let question = Question {
+                service: require(flags.service.as_ref(), "--service")?,
+                workspace: require(flags.workspace.as_ref(), "--workspace")?,
+                prompt: flags.prompt.clone().unwrap_or_default(),
+                max_tokens: flags.max_tokens,
+            };
+            explain::explain(&context, &question)
+        }
         Some(Command::Demo(demo)) => demo::run(demo.hold, demo.json || flags.json),
         None => Err(Error::usage(
             "command",
--- a/src/cli/client.rs
+++ b/src/cli/client.rs
@@ -107,6 +107,8 @@
             ));
             Error::conflict(node, text)
         }
+        ("unknown_service" | "unknown_workspace", _) => Error::usage(node, text),
+        ("not_ready", _) => Error::io(node, &std::io::Error::other(text)),
         ("store_unavailable", _) => Error::unavailable(node, text),
         _ => Error::refused(node, text),
     }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -10,6 +10,7 @@
 
 pub mod client;
 pub mod commands;
+pub mod explain;
 pub mod table;
 
 /// Exit codes of the command line, stable across versions.
--- a/src/core/route/baseline.rs
+++ b/src/core/route/baseline.rs
@@ -72,6 +72,7 @@
     }
 }
 
-fn load(candidate: &Candidate) -> f64 {
+/// Returns the requests per slot at a candidate.
+pub fn load(candidate: &Candidate) -> f64 {
     candidate.inflight / f64::from(candidate.slots.max(1))
 }
--- a/src/core/route/scored.rs
+++ b/src/core/route/scored.rs
@@ -44,6 +44,12 @@
 
 /// Returns the predicted time to the first token on `candidate`, in milliseconds.
 pub fn predict(request: &Request, candidate: &Candidate) -> f64 {
+    let parts = parts(request, candidate);
+    parts.iter().map(|(_, part)| part).sum()
+}
+
+/// Returns the parts of the predicted time to the first token, in milliseconds.
+pub fn parts(request: &Request, candidate: &Candidate) -> [(&'static str, f64); 5] {
     let slots = f64::from(candidate.slots.max(1));
     let excess = (candidate.inflight + 1.0 - slots).max(0.0);
     let queue = excess * candidate.request_ms.max(MIN_REQUEST_MS) / slots;
@@ -58,5 +64,11 @@
     } else {
         0.0
     };
-    queue + uncached * PREFILL_MS + candidate.inflight * BATCH_MS + cross_domain + reclaim
+    [
+        ("queue", queue),
+        ("prompt", uncached * PREFILL_MS),
+        ("batch", candidate.inflight * BATCH_MS),
+        ("domain", cross_domain),
+        ("reclaim", reclaim),
+    ]
 }
--- a/src/core/route/servers/mod.rs
+++ b/src/core/route/servers/mod.rs
@@ -20,6 +20,7 @@
 
 pub mod closure;
 pub mod evacuation;
+pub mod explain;
 pub mod health;
 pub mod hedge;
 pub mod limit;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -51,6 +51,7 @@
 pub mod claims;
 pub mod config;
 pub mod discovery;
+pub mod explain;
 pub mod hedging;
 pub mod logging;
 pub mod members;
--- a/src/node/operator_api.rs
+++ b/src/node/operator_api.rs
@@ -23,6 +23,7 @@
 use crate::node::api::refusals;
 use crate::node::config;
 use crate::node::config::PatchOutcome;
+use crate::node::explain;
 use crate::node::moves;
 use crate::node::peers::Answer;
 use crate::node::peers::Call;
@@ -125,6 +126,7 @@
         (Method::GET, "/v1/moves") => {
             web::json(StatusCode::OK, &node.moves.status(node.clock.now()))
         }
+        (Method::POST, "/v1/explain") => explain::handle(node, request).await,
         (Method::POST, "/v1/drain") => {
             node.request_stop();
             web::text(StatusCode::ACCEPTED, "draining\n")
--- a/tests/system/main.rs
+++ b/tests/system/main.rs
@@ -2,6 +2,8 @@
 
 mod api;
 mod cluster;
+mod explained;
 mod faults;
+mod hedged;
 mod leaving;
 mod silent;
