--- a/src/entry/backends/mod.rs
+++ b/src/entry/backends/mod.rs
@@ -28,6 +28,7 @@
 use crate::telemetry::events::Event;
 
 pub mod cold;
+mod hedge;
 pub mod in_flight;
 pub mod placing;
 
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -12,6 +12,7 @@
 mod exposure;
 mod fixtures;
 mod fleet;
+mod hedge;
 mod lease;
 mod limit;
 mod member;
