Admit requests by rank while servers are short of capacity

A request went to the least bad server however much was waiting there: it ended late or was refused after waiting. Each entry now derives a level for each service from the sums over all entries (normal, tight, scarce). At scarce it refuses at once what servers cannot begin in time, the lowest rank first, with a Retry-After that all entries keep; at tight it holds requests for up to an eighth of their objective; at normal nothing changes.

The queue of the node is now the one of the entry too: ranks are numbers, equal finish tags are ordered by deadline, and the bound is settable. Its tests check what they did; the one line that builds a request names the rank.

--- a/src/core/aggregate/view.rs
+++ b/src/core/aggregate/view.rs
@@ -150,6 +150,11 @@
         Some(&used.summary)
     }
 
+    /// Returns the age of the summary in use.
+    pub fn age(&self, now: Time) -> Option<Duration> {
+        self.used().map(|used| now.since(used.at))
+    }
+
     /// Returns what was learnt since the last call.
     pub fn take_news(&mut self) -> News {
         std::mem::take(&mut self.news)
--- a/src/core/limit/mod.rs
+++ b/src/core/limit/mod.rs
@@ -14,6 +14,7 @@
 
 pub mod queue;
 pub mod quota;
+pub mod scarcity;
 pub mod token_bucket;
 
 /// The priority classes, highest first.
@@ -38,23 +39,28 @@
             _ => None,
         }
     }
+
+    /// Returns the rank of the class; 0 is first.
+    pub const fn rank(self) -> u8 {
+        self as u8
+    }
 }
 
 /// A request that asks for admission.
 #[derive(Clone, Debug)]
 pub struct PendingRequest {
-    /// Identifies the request within this node.
+    /// Identifies the request within this process.
     pub id: u64,
     /// The workspace of the request.
     pub workspace: Name,
     /// Fair-queueing weight of the workspace.
     pub weight: u32,
-    /// Estimated work of the request, in tokens.
+    /// Estimated work of the request, in tokens at a node and in requests at an entry.
     pub work: u32,
     /// The request's deadline.
     pub deadline: Time,
     /// Shortest time from the start of the request to its response.
     pub service_time: Duration,
-    /// Priority class.
-    pub priority: Priority,
+    /// Rank of the request; 0 is first.
+    pub rank: u8,
 }
--- a/src/core/limit/queue.rs
+++ b/src/core/limit/queue.rs
@@ -8,7 +8,7 @@
 use crate::core::refusal::Refusal;
 use crate::core::time::Time;
 
-/// Largest amount of work that a node queues for one service, in tokens.
+/// Largest amount of work that is queued for one service unless set, in tokens.
 const MAX_QUEUED_WORK: u64 = 200_000;
 
 /// Largest fraction of the queue that one workspace may use.
@@ -41,16 +41,17 @@
 
 /// The admission queue of one service.
 ///
-/// Within one priority, workspaces share by weight: the finish tag of a request
+/// Within one rank, workspaces share by weight: the finish tag of a request
 /// is its work divided by the weight, added to the last tag of the workspace,
 /// and the lowest tag is served first (self-clocked fair queueing).
 ///
 /// # Invariants
 ///
-/// `queue` is sorted by priority and finish tag. `queued_work` is the sum of
+/// `queue` is sorted by rank, finish tag and deadline. `queued_work` is the sum of
 /// the work of all queued requests.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct AdmissionQueue {
+    max_work: u64,
     queue: Vec<QueuedRequest>,
     queued_work: u64,
     virtual_time: f64,
@@ -60,12 +61,34 @@
     completion_rate: f64,
 }
 
+impl Default for AdmissionQueue {
+    fn default() -> Self {
+        Self {
+            max_work: MAX_QUEUED_WORK,
+            queue: Vec::new(),
+            queued_work: 0,
+            virtual_time: 0.0,
+            last_tags: NameMap::new(),
+            completed_work: 0,
+            window_start: Time::default(),
+            completion_rate: 0.0,
+        }
+    }
+}
+
 impl AdmissionQueue {
-    /// Creates an empty queue.
+    /// Creates an empty queue for up to 200,000 units of work.
     pub fn new() -> Self {
         Self::default()
     }
 
+    /// Sets the largest amount of work that is queued.
+    #[must_use]
+    pub fn with_max_work(mut self, max_work: u64) -> Self {
+        self.max_work = max_work;
+        self
+    }
+
     /// Starts, queues or refuses a request, given the number of free slots.
     pub fn submit(&mut self, request: PendingRequest, free_slots: u32, now: Time) -> SubmitOutcome {
         if let Some(refusal) = self.check_deadline(&request, free_slots, now) {
@@ -141,7 +164,7 @@
         self.window_start = now;
     }
 
-    /// Returns the queued work, in tokens.
+    /// Returns the queued work, in tokens or requests.
     pub fn queued_work(&self) -> u64 {
         self.queued_work
     }
@@ -164,7 +187,7 @@
         let ahead: u64 = self
             .queue
             .iter()
-            .filter(|queued| queued.request.priority <= request.priority)
+            .filter(|queued| queued.request.rank <= request.rank)
             .map(|queued| u64::from(queued.request.work))
             .sum();
         Duration::from_secs_f64((ahead as f64 / self.completion_rate).min(3_600.0))
@@ -194,7 +217,7 @@
 
     fn check_capacity(&self, request: &PendingRequest) -> Option<Refusal> {
         let work = u64::from(request.work);
-        if self.queued_work + work > MAX_QUEUED_WORK {
+        if self.queued_work + work > self.max_work {
             return Some(
                 Refusal::new(
                     Reason::Overloaded,
@@ -209,7 +232,7 @@
             .filter(|queued| queued.request.workspace == request.workspace)
             .map(|queued| u64::from(queued.request.work))
             .sum();
-        let limit = MAX_QUEUED_WORK as f64 * MAX_WORKSPACE_FRACTION;
+        let limit = self.max_work as f64 * MAX_WORKSPACE_FRACTION;
         if (workspace_work + work) as f64 > limit {
             return Some(
                 Refusal::new(
@@ -236,8 +259,9 @@
 
     fn enqueue(&mut self, request: PendingRequest) {
         let finish_tag = self.assign_finish_tag(&request);
+        let place = (request.rank, finish_tag, request.deadline);
         let index = self.queue.partition_point(|other| {
-            (other.request.priority, other.finish_tag) <= (request.priority, finish_tag)
+            (other.request.rank, other.finish_tag, other.request.deadline) <= place
         });
         self.queued_work += u64::from(request.work);
         self.queue.insert(
--- a/src/core/peer.rs
+++ b/src/core/peer.rs
@@ -211,6 +211,16 @@
             .map(|(_, entry)| &entry.status)
     }
 
+    /// Returns the number of live nodes and the median age of their statuses.
+    pub fn live_age(&self, now: Time) -> (usize, Duration) {
+        let live = self.entries.iter().filter(|(_, entry)| is_live(entry, now));
+        let ages = live.map(|(_, entry)| now.since(entry.last_update));
+        let mut ages: Vec<Duration> = ages.collect();
+        ages.sort_unstable();
+        let median = ages.get(ages.len() / 2).copied();
+        (ages.len(), median.unwrap_or_default())
+    }
+
     /// Iterates over the last statuses of all known nodes.
     pub fn statuses(&self) -> impl Iterator<Item = &NodeStatus> {
         self.entries.iter().map(|(_, entry)| &entry.status)
--- a/src/core/route/servers/mod.rs
+++ b/src/core/route/servers/mod.rs
@@ -23,6 +23,7 @@
 pub mod health;
 pub mod limit;
 pub mod notice;
+pub mod sample;
 pub mod silence;
 
 /// Age at which the weight of a load report has halved, in milliseconds.
--- a/src/entry/backends/mod.rs
+++ b/src/entry/backends/mod.rs
@@ -1,6 +1,7 @@
 //! Backend servers and load balancing among them.
 
 use std::sync::Mutex;
+use std::time::Duration;
 
 use crate::core::Name;
 use crate::core::fleet::scaling::DomainServers;
@@ -54,6 +55,19 @@
     pub forecast: Option<Forecast>,
 }
 
+/// Capacity of the servers of a service.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Capacity {
+    /// Number of servers that are to get requests and are usable.
+    pub servers: u32,
+    /// Requests that they run concurrently; 0 if they state none.
+    pub slots: f64,
+    /// Requests per slot in the recent load reports of this entry's candidates, if any.
+    pub occupancy: Option<f64>,
+    /// Age of the oldest of these reports.
+    pub report_age: Duration,
+}
+
 /// The reason why no server can be chosen.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Unavailable {
@@ -255,6 +269,28 @@
         in_flight
     }
 
+    /// Returns the capacity of the servers of each service that are to get requests.
+    pub fn capacities(&self, now: Time) -> NameMap<Capacity> {
+        let state = self.state.lock().unwrap();
+        let mut capacities: NameMap<Capacity> = NameMap::new();
+        let eligible = state.registered.iter().filter(|(_, server)| {
+            !server.is_leaving && !state.servers.is_evacuated(&server.domain)
+        });
+        for (_, server) in eligible {
+            let capacity = capacities.get_or_insert_with(&server.service, Capacity::default);
+            capacity.servers += 1;
+            capacity.slots += f64::from(server.slots);
+        }
+        for (service, capacity) in capacities.iter_mut() {
+            let sample = state.servers.sample(service, now);
+            capacity.servers = (f64::from(capacity.servers) * sample.usable).ceil() as u32;
+            capacity.slots *= sample.usable;
+            capacity.occupancy = sample.occupancy;
+            capacity.report_age = sample.report_age;
+        }
+        capacities
+    }
+
     /// Returns the number of servers of a service in each failure domain.
     ///
     /// `trial` is the version that is on trial, if any.
--- a/src/entry/call/forward.rs
+++ b/src/entry/call/forward.rs
@@ -14,6 +14,7 @@
 use crate::core::sse;
 use crate::core::sse::EventBuffer;
 use crate::core::sse::EventOrder;
+use crate::entry::admission;
 use crate::entry::backends::ChosenBackend;
 use crate::entry::call;
 use crate::entry::call::Call;
@@ -112,6 +113,9 @@
         let status = response.head.status;
         attempt.in_flight.record_success(self.route.target_latency);
         let latency = attempt.in_flight.age();
+        if !status.is_server_error() {
+            admission::record_first(&self, latency);
+        }
         self.record_outcome(&mut attempt, status.is_server_error(), latency);
         self.record_progress(&mut attempt, true);
         if !response.info.is_closing && !attempt.in_flight.is_server_leaving() {
@@ -299,6 +303,9 @@
                     .in_flight
                     .record_success(self.call.route.target_latency);
                 let latency = attempt.in_flight.age();
+                if !self.has_data {
+                    admission::record_first(&self.call, latency);
+                }
                 self.call.record_outcome(attempt, false, latency);
             }
         }
--- a/src/entry/call/mod.rs
+++ b/src/entry/call/mod.rs
@@ -14,6 +14,7 @@
 use crate::core::catalog::Route;
 use crate::core::catalog::RouteKind;
 use crate::core::catalog::Workspace;
+use crate::core::limit::scarcity::Level;
 use crate::core::quarantine::features::Features;
 use crate::core::refusal::Reason;
 use crate::core::refusal::Refusal;
@@ -24,6 +25,7 @@
 use crate::core::time::Time;
 use crate::core::verdict::Verdict;
 use crate::entry::Entry;
+use crate::entry::admission;
 use crate::entry::backends::ChosenBackend;
 use crate::entry::backends::Criteria;
 use crate::entry::backends::Unavailable;
@@ -72,18 +74,20 @@
 
 /// A request of a caller and the state of its attempts.
 pub struct Call {
-    entry: Arc<Entry>,
-    request: RequestInfo,
-    route: Route,
-    service: Name,
-    workspace: Option<Workspace>,
+    pub(super) entry: Arc<Entry>,
+    pub(super) request: RequestInfo,
+    pub(super) route: Route,
+    pub(super) service: Name,
+    pub(super) workspace: Option<Workspace>,
     method: Method,
     target: String,
     headers: HeaderMap,
-    body: Bytes,
-    arrived: Time,
-    deadlines: Deadlines,
-    draw: u64,
+    pub(super) body: Bytes,
+    pub(super) arrived: Time,
+    pub(super) deadlines: Deadlines,
+    pub(super) draw: u64,
+    /// Level of the service when the request asked for admission.
+    pub(super) level: Level,
     attempts: AttemptCounts,
     tried: Vec<Name>,
     features: Features,
@@ -179,6 +183,9 @@
 impl Call {
     /// Attempts the request until a response begins or no further attempt is allowed.
     async fn run(mut self) -> Response<Body> {
+        if let Err(refusal) = admission::enter(&mut self).await {
+            return self.give_up(refusal);
+        }
         loop {
             if let Err(refusal) = self.check_stop() {
                 return self.give_up(refusal);
@@ -235,7 +242,7 @@
     }
 
     /// Returns the priority of the request; that of the workspace overrides the route's.
-    fn priority(&self) -> u8 {
+    pub(super) fn priority(&self) -> u8 {
         let assigned = self.workspace.as_ref().and_then(|w| w.priority);
         assigned.unwrap_or(self.route.priority)
     }
--- a/src/entry/call/prepare.rs
+++ b/src/entry/call/prepare.rs
@@ -10,6 +10,7 @@
 use crate::core::catalog::Route;
 use crate::core::catalog::Workspace;
 use crate::core::limit::quota::Exceeded;
+use crate::core::limit::scarcity::Level;
 use crate::core::quarantine::features::Features;
 use crate::core::refusal::Reason;
 use crate::core::refusal::Refusal;
@@ -109,6 +110,7 @@
         arrived,
         deadlines,
         draw,
+        level: Level::Normal,
         attempts: AttemptCounts::default(),
         tried: Vec::new(),
         features,
--- a/src/entry/membership/mod.rs
+++ b/src/entry/membership/mod.rs
@@ -33,6 +33,7 @@
 
 pub mod aggregation;
 pub mod datagrams;
+mod traffic;
 
 /// Number of other entries up to which heartbeats are sent to all of them.
 const FULL_MESH_LIMIT: usize = 15;
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -30,6 +30,7 @@
 use crate::entry::adapter::Adapter;
 use crate::entry::adapter::DeclaredMove;
 use crate::entry::adapter::ObjectKind;
+use crate::entry::admission::Admission;
 use crate::entry::backends::Backends;
 use crate::entry::catalog::CurrentCatalog;
 use crate::entry::limits::Limits;
@@ -49,6 +50,7 @@
 use crate::web::pool::Pool;
 
 pub mod adapter;
+pub mod admission;
 pub mod backends;
 pub mod call;
 pub mod catalog;
@@ -106,6 +108,8 @@
     pub usage: Usage,
     /// Load of the services, which determines the servers to order.
     pub service_load: ServiceLoad,
+    /// Admission to services that are short of capacity.
+    pub admission: Admission,
     /// Version moves in progress.
     pub moves: Moves,
     /// Requests that crash backend servers.
@@ -141,6 +145,7 @@
             relay: Relay::new(),
             usage: Usage::new(settings.bounds.window),
             service_load: ServiceLoad::new(),
+            admission: Admission::new(),
             moves: Moves::new(),
             settings: arc_swap::ArcSwap::from_pointee(settings),
             clock,
@@ -254,6 +259,7 @@
         spawn(&entry, "blocks", quarantine::run),
         spawn(&entry, "leader", leader::run),
         spawn(&entry, "tick", tick),
+        spawn(&entry, "admission", admission::run),
     ]);
     if settings.bounds.has_evacuations {
         let following = feeds::evacuations::follow;
@@ -311,6 +317,7 @@
     let limit = grace.saturating_sub(STOP_MARGIN);
     entry.stop_at.get_or_init(|| entry.clock.now() + limit);
     entry.leaving.send_replace(true);
+    entry.admission.stop();
     entry.events.write(
         Event::new("stopping")
             .with("open_requests", entry.open_requests.count())
@@ -339,6 +346,7 @@
         limits::refresh(&entry);
         backends::expire_lapsed(&entry);
         service_load::refresh(&entry);
+        admission::refresh(&entry);
         quarantine::update(&entry);
         moves::judge(&entry);
         Moves::advance(&entry, entry.clock.now());
--- a/src/load/scaling.rs
+++ b/src/load/scaling.rs
@@ -460,7 +460,7 @@
         work: 100,
         deadline: Time::from_millis(1_000_000),
         service_time: Duration::from_millis(10),
-        priority: Priority::Panel,
+        rank: Priority::Panel.rank(),
     }
 }
 
--- a/src/node/admission.rs
+++ b/src/node/admission.rs
@@ -234,7 +234,7 @@
             work: demand.work,
             deadline: demand.deadline,
             service_time: demand.service_time,
-            priority: demand.priority,
+            rank: demand.priority.rank(),
         };
         let queue = state
             .queues
--- a/tests/decisions/limit.rs
+++ b/tests/decisions/limit.rs
@@ -18,7 +18,7 @@
         work: 100,
         deadline: Time::from_millis(1_000_000),
         service_time: Duration::from_millis(100),
-        priority,
+        rank: priority.rank(),
     }
 }
 
--- a/tests/entry/harness.rs
+++ b/tests/entry/harness.rs
@@ -13,6 +13,7 @@
 use cassialock::core::catalog::Route;
 use cassialock::core::catalog::RouteKind;
 use cassialock::core::catalog::Workspace;
+use cassialock::core::limit::scarcity::Level;
 use cassialock::core::route::servers::evacuation::Evacuations;
 use cassialock::entry;
 use cassialock::entry::Entry;
@@ -321,6 +322,21 @@
         }
     }
 
+    /// Returns the level of the service.
+    pub fn level(&self) -> Level {
+        self.entry.admission.level("dosel-llm")
+    }
+
+    /// Returns the number of requests that the entry holds.
+    pub fn held(&self) -> usize {
+        self.entry.admission.held()
+    }
+
+    /// Tells the entry to stop, as SIGTERM does.
+    pub fn begin_stop(&self) {
+        self.stop.send_replace(true);
+    }
+
     /// Stops the entry as SIGTERM does, and waits until its process would exit.
     pub async fn stop(self) {
         self.stop.send_replace(true);
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -13,6 +13,7 @@
 mod fakes;
 mod feeds;
 mod harness;
+mod held;
 mod kept;
 mod limited;
 mod limits;
