--- a/src/core/route/servers/mod.rs
+++ b/src/core/route/servers/mod.rs
@@ -27,6 +27,7 @@
 pub mod in_flight;
 pub mod limit;
 pub mod notice;
+pub mod sample;
 pub mod silence;
 pub mod standing;
 
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -15,6 +15,7 @@
 mod feeds;
 mod harness;
 mod hedged;
+mod held;
 mod kept;
 mod limited;
 mod limits;
