--- a/src/core/route/servers/cold/mod.rs
+++ b/src/core/route/servers/cold/mod.rs
@@ -41,8 +41,8 @@
 const PAUSE_TIME: Duration = Duration::from_millis(1_200);
 
 /// Time after its start for which a node takes part with the smallest share, since the
-/// others may not know of it yet.
-const JOIN_TIME: Duration = Duration::from_secs(3);
+/// others may not know of it yet: two rounds of messages and their evaluation.
+const JOIN_TIME: Duration = Duration::from_secs(2);
 
 /// Time for which a server whose connection broke counts as cold.
 ///
@@ -230,6 +230,8 @@
     /// Time of the last activity of this node.
     active_at: Option<Time>,
     paused_until: Time,
+    /// Whether the shares were computed while the others may not have known this node.
+    was_joining: bool,
     last_told: Option<Name>,
     reports: report::Reports,
 }
@@ -441,6 +443,7 @@
             return;
         }
         let is_joining = self.is_joining(now);
+        self.cold.was_joining = is_joining;
         for (id, share) in share::shares(self, is_joining) {
             let Some(server) = self.by_id.get_mut(&id) else {
                 continue;
@@ -465,12 +468,9 @@
         started.is_none_or(|started| now.since(started) < JOIN_TIME)
     }
 
-    /// Recomputes the shares when the others know of this node.
+    /// Returns whether the shares were computed while the others may not have known this
+    /// node, which is over.
     pub(super) fn needs_cold_shares(&self, now: Time) -> bool {
-        let is_joining = self.is_joining(now);
-        let is_stale = |server: &Server| {
-            server.cold.rule.is_some() && server.cold.share.is_joining() && !is_joining
-        };
-        self.has_cold_starts() && self.iter().any(is_stale)
+        self.has_cold_starts() && self.cold.was_joining && !self.is_joining(now)
     }
 }
--- a/src/core/route/servers/cold/share.rs
+++ b/src/core/route/servers/cold/share.rs
@@ -41,8 +41,6 @@
     Unknown,
     /// Other nodes send to the server.
     None,
-    /// Requests per second of a node that the others may not know yet.
-    Joining(f64),
     /// Requests per second.
     Rate(f64),
 }
@@ -52,14 +50,9 @@
     pub(super) const fn rate(self) -> Option<f64> {
         match self {
             Share::Unknown | Share::None => None,
-            Share::Joining(rate) | Share::Rate(rate) => Some(rate),
+            Share::Rate(rate) => Some(rate),
         }
     }
-
-    /// Returns whether it was computed while the others may not have known the node.
-    pub(super) const fn is_joining(self) -> bool {
-        matches!(self, Share::Joining(_))
-    }
 }
 
 /// Returns the requests per second that all nodes together send to a cold server.
@@ -126,7 +119,7 @@
             } = &server.vm;
             let share = if is_joining {
                 let nodes = servers.nodes.len().max(plan.spread_nodes());
-                Share::Joining(plan.spread_rate(nodes as f64))
+                Share::Rate(plan.spread_rate(nodes as f64))
             } else {
                 let by_domain = sizes.get(version);
                 let used = by_domain.map_or(1.0, |sizes| used_fraction(sizes, domain));
--- a/src/platform/protocol.rs
+++ b/src/platform/protocol.rs
@@ -67,7 +67,7 @@
 const SERVER_LIMIT: HeaderName = HeaderName::from_static("server-limit");
 
 /// Milliseconds for which the server stays cold; absent if it is warm.
-const COLD: HeaderName = HeaderName::from_static("x-cassialock-cold-ms");
+pub const COLD: HeaderName = HeaderName::from_static("x-cassialock-cold-ms");
 
 /// Present with the value 1 if the server is leaving.
 const SERVER_LEAVING: HeaderName = HeaderName::from_static("server-leaving");
--- a/src/standin/engine/faults.rs
+++ b/src/standin/engine/faults.rs
@@ -1,8 +1,12 @@
 //! Faults of the engine stand-in.
 
+use std::time::Duration;
+
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::standin::engine::cold::ColdPhase;
+
 /// Faults of an engine, set by `POST /control`.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
@@ -36,6 +40,11 @@
     pub die: bool,
     /// Age of the reported load, in milliseconds.
     pub load_lag_ms: u64,
+    /// Time for which the engine is cold from now on, in milliseconds.
+    pub cold_ms: u64,
+    /// Requests per second that the engine tolerates while it is cold; it crashes when it
+    /// gets more than one and a half times as many and five in a second.
+    pub cold_per_s: f64,
 }
 
 impl Default for Faults {
@@ -55,11 +64,18 @@
             crash_on: String::new(),
             die: false,
             load_lag_ms: 200,
+            cold_ms: 0,
+            cold_per_s: 0.0,
         }
     }
 }
 
 impl Faults {
+    /// Returns the cold phase that begins now.
+    pub fn cold_phase(&self) -> ColdPhase {
+        ColdPhase::new(Duration::from_millis(self.cold_ms), self.cold_per_s)
+    }
+
     /// Returns whether the request with number `count` must fail while `running`
     /// requests are running.
     pub fn fails_request(&self, path: &str, count: u64, running: u32) -> bool {
--- a/tests/contract/main.rs
+++ b/tests/contract/main.rs
@@ -2,6 +2,7 @@
 
 mod adapter;
 mod cli;
+mod cold;
 mod endless_api;
 mod frames;
 mod odd_entries;
--- a/tests/entry/harness.rs
+++ b/tests/entry/harness.rs
@@ -23,6 +23,7 @@
 use cassialock::entry::adapter::Listing;
 use cassialock::entry::adapter::Object;
 use cassialock::entry::backends::Criteria;
+use cassialock::entry::backends::cold;
 use cassialock::entry::backends::in_flight::InFlight;
 use cassialock::entry::evacuations;
 use cassialock::entry::settings::Settings;
@@ -390,6 +391,11 @@
         vetoes.iter().map(|(service, _)| service.clone()).collect()
     }
 
+    /// Records an answer of the store, which the fake one does not give again.
+    pub fn confirm_store(&self) {
+        cold::confirm(&self.entry);
+    }
+
     /// Replaces the list of backend servers.
     pub fn list(&self, servers: Vec<BackendServer>) {
         let now = self.entry.clock.now();
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -4,6 +4,7 @@
 mod announced;
 mod beheaded;
 mod changed;
+mod cold;
 mod connections;
 mod continued;
 mod crashing;
