--- a/src/core/route/servers/cold/mod.rs
+++ b/src/core/route/servers/cold/mod.rs
@@ -9,15 +9,14 @@
 
 use crate::core::Name;
 use crate::core::name_map::NameMap;
-use crate::core::route::pacer;
 use crate::core::route::pacer::Pacer;
-use crate::core::route::servers::Filter;
 use crate::core::route::servers::Server;
 use crate::core::route::servers::Servers;
 use crate::core::route::servers::cold::share::Share;
 use crate::core::time::Time;
 
 pub mod news;
+mod pacing;
 pub mod report;
 pub mod share;
 
@@ -40,10 +39,6 @@
 /// their news twice.
 const PAUSE_TIME: Duration = Duration::from_millis(1_200);
 
-/// Time after its start for which a node takes part with the smallest share, since the
-/// others may not know of it yet: two rounds of messages and their evaluation.
-const JOIN_TIME: Duration = Duration::from_secs(2);
-
 /// Time for which a server whose connection broke counts as cold.
 ///
 /// It may have started again, which the store reports within this time.
@@ -53,12 +48,6 @@
 /// from a cache of the store.
 const LISTING_AGE: Duration = Duration::from_secs(2);
 
-/// Longest time from the choice of a cold server until the request is sent.
-///
-/// A request that has waited for longer, for example because the node was paused, would
-/// add to those that are allowed by then.
-pub const MAX_HOLD: Duration = Duration::from_millis(150);
-
 /// How the servers of a service behave after their start.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ColdStart {
@@ -162,6 +151,8 @@
     doubt: Option<(Time, Time)>,
     share: Share,
     pacer: Option<Pacer>,
+    /// Paces the requests that the server gets at least, so that it becomes warm.
+    least: Option<Pacer>,
     /// Whether the log says that the server is cold.
     is_logged: bool,
     /// Whether an invalid or bounded statement was logged.
@@ -180,6 +171,7 @@
             doubt: None,
             share: Share::Unknown,
             pacer: None,
+            least: None,
             is_logged: false,
             is_ignored_logged: false,
         }
@@ -210,6 +202,14 @@
         }
     }
 
+    /// Returns whether a server that is cold itself has not had its least part of the
+    /// requests of this node.
+    fn is_use_due(&self, now: Time) -> bool {
+        let is_starting = self.rule.is_some() && self.until > now;
+        let least = self.least.as_ref();
+        is_starting && least.is_some_and(|least| least.wait(now).is_zero())
+    }
+
     fn drain(&mut self, now: Time) {
         if let Some(pacer) = &mut self.pacer {
             pacer.drain(now);
@@ -385,92 +385,4 @@
         let own = server.cold.own_coldness(now);
         own.or_else(|| self.cold.coldness(now))
     }
-
-    /// Returns the time until a cold server may get a request of this node.
-    pub(super) fn cold_wait(&self, server: &Server, now: Time) -> Duration {
-        let Some(rule) = server.cold.rule else {
-            return Duration::ZERO;
-        };
-        let Some(coldness) = self.coldness_of(server, now) else {
-            return Duration::ZERO;
-        };
-        let wait = match &server.cold.pacer {
-            Some(pacer) => pacer.wait(now),
-            None => pacer::interval(share::used_rate(rule.rate, self.cold.tolerance)),
-        };
-        // A server that is warm before accepts requests from then on.
-        coldness.left.map_or(wait, |left| wait.min(left))
-    }
-
-    /// Returns the sorted candidates that are not chosen because they are cold.
-    pub fn cold_held(&self, filter: &Filter<'_>, now: Time) -> Vec<Name> {
-        if self.cold.rules.get(filter.service).is_none() {
-            return Vec::new();
-        }
-        let candidates = self.subset(filter.service, filter.version);
-        let held = candidates.filter(|server| !self.cold_wait(server, now).is_zero());
-        let mut held: Vec<Name> = held.map(|server| server.vm.id.clone()).collect();
-        held.sort_unstable();
-        held
-    }
-
-    /// Counts a request to a server against this node's share, and returns whether the
-    /// server is cold.
-    pub(super) fn spend_cold(&mut self, id: &str, now: Time) -> bool {
-        let is_cold = self.coldness(id, now).is_some();
-        let known = self.by_id.get_mut(id).map(|server| &mut server.cold);
-        if let Some(pacer) = known.and_then(|known| known.pacer.as_mut()) {
-            if is_cold {
-                pacer.spend(now);
-            } else {
-                // Counts if the server becomes cold right after this request.
-                pacer.drain(now);
-            }
-        }
-        is_cold
-    }
-
-    /// Returns whether a request that was counted against the share of a cold server at
-    /// `paced` may be sent now.
-    pub fn is_paced(&self, id: &str, paced: Option<Time>, now: Time) -> bool {
-        let is_recent = paced.is_some_and(|at| now.since(at) <= MAX_HOLD);
-        is_recent || self.coldness(id, now).is_none()
-    }
-
-    /// Recomputes this node's shares of all candidates that may be cold.
-    pub(super) fn share_cold(&mut self, now: Time) {
-        if self.cold.rules.is_empty() {
-            return;
-        }
-        let is_joining = self.is_joining(now);
-        self.cold.was_joining = is_joining;
-        for (id, share) in share::shares(self, is_joining) {
-            let Some(server) = self.by_id.get_mut(&id) else {
-                continue;
-            };
-            let known = &mut server.cold;
-            let is_first = known.share == Share::Unknown && !is_joining;
-            known.share = share;
-            let pacer = known.pacer.take();
-            known.pacer = share.rate().map(|rate| match pacer {
-                Some(pacer) => pacer.with_rate(rate, now),
-                // The nodes would otherwise all send one at the same moment.
-                None if is_first => Pacer::new(rate, share::first_level(&self.node, &id), now),
-                // The node that had the share before may just have used it.
-                None => Pacer::new(rate, 0.0, now),
-            });
-        }
-    }
-
-    /// Returns whether the other nodes may not know of this one yet.
-    fn is_joining(&self, now: Time) -> bool {
-        let started = self.cold.started_at;
-        started.is_none_or(|started| now.since(started) < JOIN_TIME)
-    }
-
-    /// Returns whether the shares were computed while the others may not have known this
-    /// node, which is over.
-    pub(super) fn needs_cold_shares(&self, now: Time) -> bool {
-        self.has_cold_starts() && self.cold.was_joining && !self.is_joining(now)
-    }
 }
--- a/src/core/route/servers/cold/share.rs
+++ b/src/core/route/servers/cold/share.rs
@@ -28,6 +28,12 @@
 /// hardly more than the rate is allowed.
 const ALLOWED_FRACTION: f64 = 0.6;
 
+/// Fraction of a node's share that a starting server gets at least while there are requests.
+///
+/// A tenth of the tolerated rate must be used, although some nodes may not know of the
+/// server and others may have no requests.
+pub(super) const LEAST_FRACTION: f64 = 0.3;
+
 /// Number of nodes up to which those with a share are ranked, which takes time for each.
 const MAX_RANKED: usize = 300;
 
--- a/src/core/route/servers/mod.rs
+++ b/src/core/route/servers/mod.rs
@@ -414,7 +414,12 @@
 
     /// Returns the candidates for a request that match `filter`.
     pub fn candidates(&self, filter: &Filter<'_>, request: &Request, now: Time) -> Vec<Candidate> {
-        self.candidates_with(filter, request, &[], now)
+        let candidates = self.candidates_with(filter, request, &[], now);
+        if filter.excluded.is_empty() {
+            self.prefer_due(candidates, now)
+        } else {
+            candidates
+        }
     }
 
     /// Returns the candidates for a request, and those of the sorted servers `held` whose
