Ignore the load in answers to probes that are no success

A server that is not ready yet may state that it has nothing to do, which made it the best candidate. Also use is_multiple_of, as clippy asks.

--- a/src/core/route/placement.rs
+++ b/src/core/route/placement.rs
@@ -214,7 +214,7 @@
         }
         // Once more servers than those of the order hold the parts, they are used further.
         let drawn = xxhash_rust::xxh3::xxh3_64_with_seed(&prompt.draw.to_le_bytes(), HOLDER_SEED);
-        if let (Some(part), true) = (prompt.parts.last(), drawn % 2 == 0)
+        if let (Some(part), true) = (prompt.parts.last(), drawn.is_multiple_of(2))
             && let Some(id) = self.parts.holder(part.id, drawn, query.now)
         {
             add(id, &mut seats);
--- a/src/entry/probes.rs
+++ b/src/entry/probes.rs
@@ -115,7 +115,11 @@
     if dialect.server_id(&head.headers) != Some(&*server.instance) {
         return ProbeOutcome::OtherServer;
     }
-    let info = dialect.read_response(&head);
+    let mut info = dialect.read_response(&head);
+    // A server that is not ready may state that it has nothing to do.
+    if !head.status.is_success() {
+        info.notice.load = None;
+    }
     let now = entry.clock.now();
     let recorded =
         entry
@@ -125,7 +129,7 @@
     if !info.is_closing && !info.notice.is_leaving {
         keep(entry, connection, body, info.idle_timeout);
     }
-    if head.status.is_success() && info.notice.load.is_some() {
+    if info.notice.load.is_some() {
         ProbeOutcome::Answered
     } else {
         ProbeOutcome::NoLoad
