--- a/src/core/limit/scarcity/detector.rs
+++ b/src/core/limit/scarcity/detector.rs
@@ -37,10 +37,13 @@
 /// Time with inputs before anything is concluded from them.
 const START_TIME: Duration = Duration::from_secs(3);
 
-/// Time below the occupancy of a shortage after which the usual time is known.
+/// Time at the normal level after which the usual time is known.
 const LEARN_TIME: Duration = Duration::from_secs(5);
 
-/// Time constant of the usual time in progress.
+/// Time constant of the usual time in progress while it is shorter than known.
+const SHORTER_TIME: Duration = Duration::from_secs(2);
+
+/// Time constant of the usual time in progress while it is longer than known.
 const USUAL_TIME: Duration = Duration::from_secs(10);
 
 /// Time for which a level outlasts its cause.
@@ -60,23 +63,27 @@
 /// Change of the admitted part of the capacity per second and unit of relative excess.
 const TRIM_RATE: f64 = 0.25;
 
+/// Relative excess up to which the admitted part of the capacity is adjusted.
+const MAX_EXCESS: f64 = 0.1;
+
 /// Bounds of the admitted part of the capacity.
 const TRIM: (f64, f64) = (0.9, 1.25);
 
-/// Usual times in progress for which the capacity expected from them counts.
-const PRIOR_TIMES: f64 = 1.5;
-
 /// Smallest fraction of the capacity that is admitted, whatever is in progress.
 const MIN_ROOM: f64 = 0.3;
 
-/// Requests per slot that are aimed at. At 1 or more, each request of a high rank waits at
-/// its server until one of a lower rank ends.
-const TARGET_OCCUPANCY: f64 = 0.97;
+/// Requests per slot that are aimed at. Below it slots are idle, and above it requests of a
+/// high rank wait at their server until one of a lower rank ends.
+const TARGET_OCCUPANCY: f64 = 1.0;
 
 /// Mean wait at servers that is aimed at, as a fraction of the shortest objective,
 /// where servers are busy before their slots are full.
 const TARGET_WAIT: f64 = 0.25;
 
+/// Growth of the mean time in progress from which servers are busy before their slots are
+/// full, so that fewer requests are aimed at.
+const TARGET_GROWTH: f64 = 1.25;
+
 /// Smallest fraction of the capacity that is assumed to be left for the lowest rank.
 const MIN_LEFT: f64 = 0.1;
 
@@ -104,18 +111,14 @@
 pub struct Detector {
     level: Level,
     entered_at: Time,
-    /// Time at which the level last left [`Level::Normal`].
-    short_since: Time,
     calm_since: Option<Time>,
     inputs: Option<Inputs>,
     updated_at: Option<Time>,
-    /// Time with inputs, and the part of it with free slots.
+    /// Time with inputs, and the part of it at the normal level.
     observed: Duration,
     learned: Duration,
     mean: Traffic,
     /// Completions per second, more slowly smoothed.
-    measured: f64,
-    /// Requests per second that the servers can complete.
     capacity: f64,
     /// Usual mean time in progress, in seconds.
     usual: Option<f64>,
@@ -204,7 +207,6 @@
             return self.enter(Level::Normal, now);
         };
         self.observe(&inputs, now);
-        self.capacity = self.find_capacity(&inputs, now);
         let target = self.find_target(&inputs, lowest.shortest);
         let excess = inputs.traffic.in_flight - target;
         self.adjust(excess / target.max(1.0), now);
@@ -241,17 +243,22 @@
         );
         approach(&mut mean.in_flight, traffic.in_flight, RATE_TIME);
         let completed = mean.completion_rate;
-        approach(&mut self.measured, completed, CAPACITY_TIME);
+        approach(&mut self.capacity, completed, CAPACITY_TIME);
         let elapsed = elapsed.unwrap_or_default();
         self.observed = self.observed.saturating_add(elapsed);
-        if self.level != Level::Normal || self.occupancy() >= MIN_OCCUPANCY {
+        let progress = self.progress();
+        // The first requests take their time to complete.
+        if self.level != Level::Normal || self.observed < START_TIME || progress == 0.0 {
             return;
         }
-        let progress = self.progress();
-        if progress > 0.0 {
-            self.learned = self.learned.saturating_add(elapsed);
-            let usual = self.usual.get_or_insert(progress);
-            *usual += weight(USUAL_TIME) * (progress - *usual);
+        let known = *self.usual.get_or_insert(progress);
+        let is_free = self.occupancy() < MIN_OCCUPANCY;
+        self.learned = self.learned.saturating_add(elapsed);
+        // A shorter time shows what is usual even if most slots are in use.
+        if progress < known {
+            self.usual = Some(known + weight(SHORTER_TIME) * (progress - known));
+        } else if is_free {
+            self.usual = Some(known + weight(USUAL_TIME) * (progress - known));
         }
     }
 
@@ -266,37 +273,26 @@
         let elapsed = now.since(self.adjusted_at).min(MAX_INTERVAL);
         self.adjusted_at = now;
         let trim = self.trim - TRIM_RATE * excess * elapsed.as_secs_f64();
+        // A backlog, or a lack of requests, says nothing of the plan.
+        let is_planned = excess.abs() < MAX_EXCESS && self.mean.arrival_rate > self.room;
         self.trim = match self.level {
             Level::Normal => 1.0,
-            _ => trim.clamp(TRIM.0, TRIM.1),
-        };
-    }
-
-    /// Returns the requests per second that the servers can complete.
-    ///
-    /// Completions follow a sudden load only after the time that requests take. Until then
-    /// the slots and the usual time say more.
-    fn find_capacity(&self, inputs: &Inputs, now: Time) -> f64 {
-        let Some(usual) = self.usual.filter(|_| self.learned >= LEARN_TIME) else {
-            return self.measured;
-        };
-        let missing = (inputs.slots / usual - self.measured).max(0.0);
-        let elapsed = match self.level {
-            Level::Normal => Duration::ZERO,
-            _ => now.since(self.short_since),
+            _ if is_planned => trim.clamp(TRIM.0, TRIM.1),
+            _ => self.trim,
         };
-        self.measured + missing * (-elapsed.as_secs_f64() / (usual * PRIOR_TIMES)).exp()
     }
 
     /// Returns the number of requests in progress that uses the servers fully.
     fn find_target(&self, inputs: &Inputs, shortest: Option<Duration>) -> f64 {
         let wait = shortest.unwrap_or_default().as_secs_f64() * TARGET_WAIT;
-        let queued = self.capacity * wait;
         let full = inputs.slots * TARGET_OCCUPANCY;
-        let least = inputs.slots * MIN_OCCUPANCY;
+        let progress = self.progress();
         match self.usual {
-            Some(usual) => (self.capacity * usual + queued).clamp(least, full),
-            None => full,
+            Some(usual) if progress > 0.0 => {
+                let part = (usual * TARGET_GROWTH + wait) / progress;
+                full * part.clamp(MIN_OCCUPANCY, 1.0)
+            }
+            _ => full,
         }
     }
 
@@ -325,7 +321,7 @@
             completion_rate,
             ..
         } = self.mean;
-        if self.observed < START_TIME || completion_rate.max(self.measured) < MIN_RATE {
+        if self.observed < START_TIME || completion_rate.max(self.capacity) < MIN_RATE {
             return Level::Normal;
         }
         // Rates vary by the square root of the count.
@@ -383,9 +379,6 @@
             usual: self.usual.map(Duration::from_secs_f64),
             room: self.room,
         };
-        if self.level == Level::Normal {
-            self.short_since = now;
-        }
         self.level = level;
         self.entered_at = now;
         self.calm_since = None;
--- a/src/core/limit/scarcity/gate.rs
+++ b/src/core/limit/scarcity/gate.rs
@@ -33,7 +33,7 @@
 const ROTATION: Duration = Duration::from_secs(4);
 
 /// Part of the admitted places to which callers that return are spread.
-const RETURN_PLACES: (f64, f64) = (0.05, 0.35);
+const RETURN_PLACES: (f64, f64) = (0.05, 0.25);
 
 /// Shortest time after which a refused caller is told to return.
 const MIN_WAIT: Duration = Duration::from_millis(150);
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the decision logic in `core`, driven step by step without I/O.
 
+mod admission;
 mod aggregate;
 mod aggregate_gap;
 mod canary;
