--- a/src/core/route/servers/mod.rs
+++ b/src/core/route/servers/mod.rs
@@ -21,10 +21,13 @@
 pub mod closure;
 pub mod cold;
 pub mod evacuation;
+pub mod explain;
 pub mod health;
+pub mod hedge;
 pub mod in_flight;
 pub mod limit;
 pub mod notice;
+pub mod sample;
 pub mod silence;
 pub mod standing;
 
@@ -415,7 +418,12 @@
 
     /// Returns the candidates for a request that match `filter`.
     pub fn candidates(&self, filter: &Filter<'_>, request: &Request, now: Time) -> Vec<Candidate> {
-        self.candidates_with(filter, request, &[], now)
+        let candidates = self.candidates_with(filter, request, &[], now);
+        if filter.excluded.is_empty() {
+            self.prefer_due(candidates, now)
+        } else {
+            candidates
+        }
     }
 
     /// Returns the candidates for a request, and those of the sorted servers `held` whose
--- a/src/entry/call/mod.rs
+++ b/src/entry/call/mod.rs
@@ -14,6 +14,7 @@
 use crate::core::catalog::Route;
 use crate::core::catalog::RouteKind;
 use crate::core::catalog::Workspace;
+use crate::core::limit::scarcity::Level;
 use crate::core::quarantine::features::Features;
 use crate::core::refusal::Reason;
 use crate::core::refusal::Refusal;
@@ -25,12 +26,14 @@
 use crate::core::time::Time;
 use crate::core::verdict::Verdict;
 use crate::entry::Entry;
+use crate::entry::admission;
 use crate::entry::backends::ChosenBackend;
 use crate::entry::backends::Criteria;
 use crate::entry::backends::Unavailable;
 use crate::entry::backends::cold;
 use crate::entry::call::attempt::Scope;
 use crate::entry::call::deadlines::Deadlines;
+use crate::entry::call::hedge::HedgeState;
 use crate::entry::call::outcome::Outcome;
 use crate::entry::call::outcome::Stage;
 use crate::entry::call::prepare::prepare;
@@ -47,6 +50,7 @@
 pub mod deadlines;
 mod delivery;
 pub mod forward;
+pub mod hedge;
 pub mod memory;
 pub mod outcome;
 pub mod prepare;
@@ -76,24 +80,27 @@
 
 /// A request of a caller and the state of its attempts.
 pub struct Call {
-    entry: Arc<Entry>,
-    request: RequestInfo,
-    route: Route,
-    service: Name,
-    workspace: Option<Workspace>,
+    pub(super) entry: Arc<Entry>,
+    pub(super) request: RequestInfo,
+    pub(super) route: Route,
+    pub(super) service: Name,
+    pub(super) workspace: Option<Workspace>,
     method: Method,
     target: String,
     headers: HeaderMap,
-    body: Bytes,
-    arrived: Time,
-    deadlines: Deadlines,
-    draw: u64,
+    pub(super) body: Bytes,
+    pub(super) arrived: Time,
+    pub(super) deadlines: Deadlines,
+    pub(super) draw: u64,
+    /// Level of the service when the request asked for admission.
+    pub(super) level: Level,
     attempts: AttemptCounts,
     tried: Vec<Name>,
     features: Features,
     usage_counted: bool,
     /// Id of the last stream event that the caller has received.
     last_event: Option<Name>,
+    hedge: HedgeState,
     outcome: Outcome,
 }
 
@@ -183,6 +190,9 @@
 impl Call {
     /// Attempts the request until a response begins or no further attempt is allowed.
     async fn run(mut self) -> Response<Body> {
+        if let Err(refusal) = admission::enter(&mut self).await {
+            return self.give_up(refusal);
+        }
         loop {
             if let Err(refusal) = self.check_stop() {
                 return self.give_up(refusal);
@@ -239,7 +249,7 @@
     }
 
     /// Returns the priority of the request; that of the workspace overrides the route's.
-    fn priority(&self) -> u8 {
+    pub(super) fn priority(&self) -> u8 {
         let assigned = self.workspace.as_ref().and_then(|w| w.priority);
         assigned.unwrap_or(self.route.priority)
     }
--- a/src/entry/call/prepare.rs
+++ b/src/entry/call/prepare.rs
@@ -10,6 +10,7 @@
 use crate::core::catalog::Route;
 use crate::core::catalog::Workspace;
 use crate::core::limit::quota::Exceeded;
+use crate::core::limit::scarcity::Level;
 use crate::core::quarantine::features::Features;
 use crate::core::refusal::Reason;
 use crate::core::refusal::Refusal;
@@ -21,6 +22,7 @@
 use crate::entry::call::Call;
 use crate::entry::call::RETRY_JITTER;
 use crate::entry::call::deadlines::Deadlines;
+use crate::entry::call::hedge::HedgeState;
 use crate::entry::call::memory::MemoryReservation;
 use crate::entry::call::outcome::Outcome;
 use crate::entry::call::outcome::Stage;
@@ -109,10 +111,12 @@
         arrived,
         deadlines,
         draw,
+        level: Level::Normal,
         attempts: AttemptCounts::default(),
         tried: Vec::new(),
         features,
         usage_counted: false,
+        hedge: HedgeState::default(),
         outcome: Outcome::new(entry, request.id.clone(), arrived, Stage::Server),
         request,
     })
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -30,8 +30,10 @@
 use crate::entry::adapter::Adapter;
 use crate::entry::adapter::DeclaredMove;
 use crate::entry::adapter::ObjectKind;
+use crate::entry::admission::Admission;
 use crate::entry::backends::Backends;
 use crate::entry::catalog::CurrentCatalog;
+use crate::entry::hedging::Hedging;
 use crate::entry::limits::Limits;
 use crate::entry::membership::Membership;
 use crate::entry::membership::datagrams;
@@ -49,11 +51,13 @@
 use crate::web::pool::Pool;
 
 pub mod adapter;
+pub mod admission;
 pub mod backends;
 pub mod call;
 pub mod catalog;
 pub mod evacuations;
 pub mod feeds;
+pub mod hedging;
 pub mod leader;
 pub mod limits;
 pub mod listeners;
@@ -106,8 +110,12 @@
     pub relay: Relay,
     /// Counts of started requests for usage reports.
     pub usage: Usage,
+    /// Hedged requests.
+    pub hedging: Hedging,
     /// Load of the services, which determines the servers to order.
     pub service_load: ServiceLoad,
+    /// Admission to services that are short of capacity.
+    pub admission: Admission,
     /// Version moves in progress.
     pub moves: Moves,
     /// Requests that crash backend servers.
@@ -142,7 +150,9 @@
             membership: Membership::new(),
             relay: Relay::new(),
             usage: Usage::new(settings.bounds.window),
+            hedging: Hedging::new(),
             service_load: ServiceLoad::new(),
+            admission: Admission::new(),
             moves: Moves::new(),
             settings: arc_swap::ArcSwap::from_pointee(settings),
             clock,
@@ -219,8 +229,13 @@
 
     /// Applies changed settings.
     ///
-    /// Listening addresses keep the values that they had at the start.
+    /// Listening addresses and the limit of hedged requests keep the values that they had
+    /// at the start.
     pub fn reload(&self, settings: Settings) {
+        let settings = Settings {
+            hedge_percent: self.settings.load().hedge_percent,
+            ..settings
+        };
         if **self.settings.load() == settings {
             return;
         }
@@ -256,6 +271,7 @@
         spawn(&entry, "blocks", quarantine::run),
         spawn(&entry, "leader", leader::run),
         spawn(&entry, "tick", tick),
+        spawn(&entry, "admission", admission::run),
     ]);
     if settings.bounds.has_evacuations {
         let following = feeds::evacuations::follow;
@@ -313,6 +329,7 @@
     let limit = grace.saturating_sub(STOP_MARGIN);
     entry.stop_at.get_or_init(|| entry.clock.now() + limit);
     entry.leaving.send_replace(true);
+    entry.admission.stop();
     entry.events.write(
         Event::new("stopping")
             .with("open_requests", entry.open_requests.count())
@@ -343,6 +360,8 @@
         backends::cold::refresh(&entry);
         service_load::refresh(&entry);
         speeds::report(&entry);
+        hedging::refresh(&entry);
+        admission::refresh(&entry);
         quarantine::update(&entry);
         moves::judge(&entry);
         Moves::advance(&entry, entry.clock.now());
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the decision logic in `core`, driven step by step without I/O.
 
+mod admission;
 mod aggregate;
 mod aggregate_gap;
 mod canary;
@@ -12,6 +13,7 @@
 mod exposure;
 mod fixtures;
 mod fleet;
+mod hedge;
 mod lease;
 mod limit;
 mod member;
