--- a/src/entry/backends/placing.rs
+++ b/src/entry/backends/placing.rs
@@ -175,7 +175,8 @@
     ) {
         // The sessions of a trial are placed without a look at the work.
         if *work != Work::default() {
-            self.placement.record_first(service, work, took);
+            let report_age = forecast.map(|forecast| forecast.age);
+            self.placement.record_first(service, work, report_age, took);
         }
         if let Some(forecast) = forecast {
             let error = took.abs_diff(forecast.first).min(MAX_ERROR);
--- a/tests/decisions/placement/fleet.rs
+++ b/tests/decisions/placement/fleet.rs
@@ -304,7 +304,9 @@
         let service = "m".into();
         entry.placement.record_load(&service, &load, before, at);
         if later.work != Work::default() {
-            entry.placement.record_first(&"m".into(), &later.work, took);
+            entry
+                .placement
+                .record_first(&"m".into(), &later.work, None, took);
         }
     }
 
