Consider a hedge again while a late request keeps waiting

Cause: a request at an engine that hung was not hedged, because most late responses begin shortly after the delay, and this was decided only once. It waited for 3.6 s.

Change: a hedge that is not predicted to be sooner is considered again whenever the time since the first attempt has grown by a quarter.

--- a/src/core/retry/hedge/mod.rs
+++ b/src/core/retry/hedge/mod.rs
@@ -21,6 +21,10 @@
 /// Largest extra work that can be set, in percent of the work of a service.
 pub const MAX_PERCENT: f64 = 20.0;
 
+/// Factor by which the time since the first attempt grows until a hedge that was not
+/// predicted to be sooner is considered again.
+const RECHECK_FACTOR: f64 = 1.25;
+
 /// Maximum number of services whose work is counted.
 const MAX_SERVICES: usize = 256;
 
@@ -36,6 +40,14 @@
     }
 }
 
+/// Returns the time since the first attempt at which a hedge is considered again that was
+/// not predicted to be sooner after `elapsed`.
+///
+/// A request that is still waiting then is expected to take longer than was predicted.
+pub fn next_check(elapsed: Duration) -> Duration {
+    elapsed.mul_f64(RECHECK_FACTOR)
+}
+
 /// Returns the work of a request: its tokens, or one unit if it has none.
 pub fn work(tokens: Option<TokenCounts>) -> f64 {
     let sum = tokens.map_or(0.0, |tokens| {
--- a/src/entry/call/hedge.rs
+++ b/src/entry/call/hedge.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 
 use crate::core::retry::Cause;
+use crate::core::retry::hedge;
 use crate::core::retry::hedge::Subject;
 use crate::core::retry::hedge::decision;
 use crate::core::retry::hedge::decision::Inputs;
@@ -37,6 +38,8 @@
     is_counted: bool,
     /// Whether it was decided to hedge the request, or not to.
     is_decided: bool,
+    /// Time since the first attempt before which it is not decided again.
+    not_before: Duration,
 }
 
 /// How the wait for the beginning of a response ended.
@@ -86,17 +89,19 @@
         limit: Duration,
     ) -> Waited<T> {
         let until = Instant::now() + limit;
-        if let Some(late_at) = self.late_at(first).filter(|late_at| *late_at < until) {
+        while let Some(late_at) = self.late_at(first).filter(|late_at| *late_at < until) {
             if let Ok(result) = tokio::time::timeout_at(late_at, &mut next).await {
                 return Waited::Begun(result);
             }
-            self.hedge.is_decided = true;
             let delay = first.in_flight.age();
             let started = tokio::select! {
                 biased;
                 result = &mut next => return Waited::Begun(result),
                 started = self.start_hedge(first) => started,
             };
+            self.hedge.is_decided = !matches!(started, Err(Skipped::NotSooner));
+            let was_checked = self.hedge.not_before > Duration::ZERO;
+            self.hedge.not_before = hedge::next_check(delay);
             match started {
                 Ok(sent) => {
                     let event = Event::for_request("hedge_ended", &self.request.id)
@@ -104,11 +109,12 @@
                         .with("backend", &*first.server.id)
                         .with("second", &*sent.attempt.server.id);
                     let running = Running::new(&self.entry, event, delay);
-                    let racing = self.race_hedge(first, &mut next, is_usable, *sent, until);
+                    let racing = self.race_hedge(first, &mut next, &is_usable, *sent, until);
                     if let Some(relief) = racing.await.end(running) {
                         return Waited::Hedged(relief);
                     }
                 }
+                Err(Skipped::NotSooner) if was_checked => {}
                 Err(reason) => hedging::record_skipped(&self.entry, &self.service, reason),
             }
         }
@@ -211,6 +217,7 @@
         let now = self.entry.clock.now();
         let hedging = &self.entry.hedging;
         let delay = hedging.with(|hedges| hedges.delay(&self.subject(), now))?;
+        let delay = delay.max(self.hedge.not_before);
         Some(Instant::now() + delay.saturating_sub(first.in_flight.age()))
     }
 
--- a/src/node/api/llm/call/hedge.rs
+++ b/src/node/api/llm/call/hedge.rs
@@ -6,8 +6,10 @@
 use crate::core::request::TokenCounts;
 use crate::core::retry;
 use crate::core::retry::Cause;
+use crate::core::retry::hedge;
 use crate::core::retry::hedge::Subject;
 use crate::core::retry::hedge::decision;
+use crate::core::retry::hedge::decision::Skipped;
 use crate::core::verdict::Verdict;
 use crate::node::Node;
 use crate::node::admission::Permit;
@@ -46,20 +48,34 @@
         hedging::count(node, &subject);
         let handover = first.handover(&self.record.progress);
         let delay = hedging::delay(node, &subject);
-        let limit = delay.map_or(first.limit(), |delay| delay.min(first.limit()));
-        match waiter.wait(&handover, first.receive(), limit).await {
-            WaitResult::Ready(received) => {
-                if received.is_ok() {
-                    hedging::record(node, &subject, first.started.elapsed());
+        let mut check_at = delay.map_or(first.limit(), |delay| delay.min(first.limit()));
+        let server = loop {
+            let wait = check_at.saturating_sub(first.started.elapsed());
+            match waiter.wait(&handover, first.receive(), wait).await {
+                WaitResult::Ready(received) => {
+                    if received.is_ok() {
+                        hedging::record(node, &subject, first.started.elapsed());
+                    }
+                    first.put_back(received);
+                    return Relief::Open(Box::new(first));
                 }
-                first.put_back(received);
-                return Relief::Open(Box::new(first));
+                WaitResult::Deadline => return ended(first, AttemptOutcome::Failed(Cause::Silent)),
+                WaitResult::Ended(outcome) => return ended(first, outcome),
+                WaitResult::Silent => {}
             }
-            WaitResult::Deadline => return ended(first, AttemptOutcome::Failed(Cause::Silent)),
-            WaitResult::Ended(outcome) => return ended(first, outcome),
-            WaitResult::Silent => first.shorten_limit(limit),
-        }
-        let server = delay.and_then(|_| self.choose_hedge(node, &first, &subject));
+            let elapsed = first.started.elapsed();
+            let chosen = if delay.is_some() && elapsed < first.limit() {
+                self.choose_hedge(node, &first, &subject)
+            } else {
+                Err(Skipped::Attempts)
+            };
+            check_at = match chosen {
+                Ok(server) => break Some(server),
+                Err(Skipped::NotSooner) => hedge::next_check(elapsed).min(first.limit()),
+                Err(_) => break None,
+            };
+        };
+        first.shorten_limit(first.started.elapsed());
         let Some(server) = server else {
             return Relief::Open(Box::new(first));
         };
@@ -144,10 +160,11 @@
         node: &Node,
         first: &OpenAttempt,
         subject: &Subject<'_>,
-    ) -> Option<SelectedServer> {
-        self.check_crashes(node).ok()?;
+    ) -> Result<SelectedServer, Skipped> {
+        self.check_crashes(node).map_err(|_| Skipped::Suspected)?;
         let installed = node.config.load();
-        let (name, service) = find_service(&installed.config, &self.completion.model).ok()?;
+        let (name, service) = find_service(&installed.config, &self.completion.model)
+            .map_err(|_| Skipped::NoServer)?;
         let excluded = self.deprioritized(node);
         let selection = Selection {
             name,
--- a/src/node/api/plain/hedge.rs
+++ b/src/node/api/plain/hedge.rs
@@ -8,7 +8,9 @@
 use crate::core::Name;
 use crate::core::retry;
 use crate::core::retry::Cause;
+use crate::core::retry::hedge;
 use crate::core::retry::hedge::Subject;
+use crate::core::retry::hedge::decision::Skipped;
 use crate::core::route::Request as RouteRequest;
 use crate::core::verdict::Verdict;
 use crate::node::Node;
@@ -49,13 +51,19 @@
         let subject = self.subject();
         let running = plain::run(node, first, &self.request, new_connection, timeout);
         tokio::pin!(running);
-        let delay = hedging::delay(node, &subject).filter(|_| self.repeatable);
+        let mut check_at = hedging::delay(node, &subject).filter(|_| self.repeatable);
         let mut result = None;
         let mut second = None;
-        if let Some(delay) = delay {
-            result = tokio::time::timeout(delay, &mut running).await.ok();
-            if result.is_none() {
-                second = self.choose_hedge(node, first, began.elapsed());
+        while let Some(at) = check_at.take() {
+            let wait = at.saturating_sub(began.elapsed());
+            result = tokio::time::timeout(wait, &mut running).await.ok();
+            if result.is_some() {
+                break;
+            }
+            match self.choose_hedge(node, first, began.elapsed()) {
+                Ok(server) => second = Some(server),
+                Err(Skipped::NotSooner) => check_at = Some(hedge::next_check(began.elapsed())),
+                Err(_) => {}
             }
         }
         let Some(second) = second else {
@@ -133,7 +141,7 @@
         node: &Node,
         first: &SelectedServer,
         elapsed: Duration,
-    ) -> Option<SelectedServer> {
+    ) -> Result<SelectedServer, Skipped> {
         let request = RouteRequest::default();
         let selection = Selection {
             name: &self.service_name,
--- a/src/node/hedging.rs
+++ b/src/node/hedging.rs
@@ -68,13 +68,16 @@
     node.hedges.lock().unwrap().delay(subject, now)
 }
 
-/// Selects a server for the hedge of a late request and pays for it, or returns `None` if
-/// the request is not hedged.
-pub fn choose(node: &Node, late: &Late<'_>) -> Option<SelectedServer> {
-    match try_choose(node, late) {
-        Ok(server) => {
+/// Selects a server for the hedge of a late request and pays for it.
+///
+/// # Errors
+///
+/// Returns the reason if the request is not hedged.
+pub fn choose(node: &Node, late: &Late<'_>) -> Result<SelectedServer, Skipped> {
+    let chosen = try_choose(node, late);
+    match &chosen {
+        Ok(_) => {
             metrics::counter!("cassialock_hedges_sent_total", "node" => node.label()).increment(1);
-            Some(server)
         }
         Err(reason) => {
             metrics::counter!(
@@ -83,9 +86,9 @@
                 "reason" => reason.as_str()
             )
             .increment(1);
-            None
         }
     }
+    chosen
 }
 
 /// Counts how a hedge ended.
