Export the fraction of responses after which requests still wait

The shares of load reports are exchanged only for services whose servers state how long work takes, and the result is a gauge: nothing decides by it, since servers count a request whose prompt they read as running.

--- a/src/entry/backends/in_flight.rs
+++ b/src/entry/backends/in_flight.rs
@@ -141,6 +141,11 @@
         let load = notice.load.as_ref();
         let load = load.filter(|_| receipt.origin == Origin::Own && !notice.is_misdirected);
         let policy = load.and_then(|load| state.record_load(&self.id, load, before, receipt.now));
+        // Speeds are exchanged only for services whose servers state the time of work.
+        if let Some(load) = load.filter(|load| load.work_percent.is_some()) {
+            let speeds = state.listed_speeds();
+            speeds.record_load(&self.service, load, receipt.now);
+        }
         drop(state);
         if let Some(policy) = policy {
             policy.write(&self.entry);
--- a/src/entry/speeds.rs
+++ b/src/entry/speeds.rs
@@ -7,6 +7,7 @@
 use crate::core::route::speed::share::Message;
 use crate::core::route::speed::share::Scope;
 use crate::core::route::speed::share::Share;
+use crate::core::route::speed::table::SpeedTable;
 use crate::entry::Entry;
 use crate::telemetry::events::Event;
 
@@ -114,6 +115,14 @@
 pub fn report(entry: &Entry) {
     let now = entry.clock.now();
     let checked = entry.backends.with_speeds(|speeds| speeds.check(now));
+    for (service, _) in entry.catalog.load().iter().flat_map(|c| c.services.iter()) {
+        let utilization = |speeds: &mut SpeedTable| speeds.utilization(service, now);
+        if let Some(utilization) = entry.backends.with_speeds(utilization) {
+            let service = service.to_string();
+            metrics::gauge!("cassialock_waiting_fraction", "service" => service)
+                .set(utilization.busy);
+        }
+    }
     for change in checked.changes {
         let class = if change.is_slow { "slow" } else { "normal" };
         metrics::counter!("cassialock_backend_speed_changes_total", "class" => class).increment(1);
