Admit early refusals only where an operator asks for them

The level is derived from slots, and these servers are bound by prompts before their slots are full. It is a setting now, off by default, so that other deployments are served as before.

--- a/src/bin/cassialockd.rs
+++ b/src/bin/cassialockd.rs
@@ -92,6 +92,12 @@
         meta = "PERCENT"
     )]
     hedge_extra_work: Option<String>,
+    #[options(
+        no_short,
+        help = "on: order and refuse requests early while servers are short of capacity",
+        meta = "SWITCH"
+    )]
+    admission: Option<String>,
     #[options(no_short, help = "log format: text or json", meta = "FORMAT")]
     log_format: Option<String>,
     #[options(
@@ -116,6 +122,7 @@
             "policy" => &self.policy,
             "drain-s" => &self.drain_s,
             "hedge-extra-work" => &self.hedge_extra_work,
+            "admission" => &self.admission,
             "log-format" => &self.log_format,
             "log-level" => &self.log_level,
             _ => &None,
@@ -160,19 +167,23 @@
 /// What the file has no field for is read from flags and environment variables.
 fn run_entry(path: &Path, flags: &Flags) -> ExitCode {
     let variable = |name: &str| std::env::var(name).ok();
-    let hedge_percent = node::settings::read_hedge_percent(&|flag| flags.get(flag), &variable);
+    let flag = |flag: &str| flags.get(flag);
+    let hedge_percent = node::settings::read_hedge_percent(&flag, &variable);
+    let admission = node::settings::read_admission(&flag, &variable);
     let file = settings_file::read(path);
     if let Err(fault) = &file {
         eprintln!("cassialockd: {fault}");
     }
-    if let Err(fault) = &hedge_percent {
+    let faults = [hedge_percent.as_ref().err(), admission.as_ref().err()];
+    for fault in faults.into_iter().flatten() {
         eprintln!("cassialockd: {fault}");
     }
-    let (Ok(file), Ok(hedge_percent)) = (file, hedge_percent) else {
+    let (Ok(file), Ok(hedge_percent), Ok(admission)) = (file, hedge_percent, admission) else {
         return ExitCode::from(2);
     };
     let settings = entry::settings::Settings {
         hedge_percent,
+        admission,
         ..file
     };
     if flags.check {
--- a/src/entry/admission.rs
+++ b/src/entry/admission.rs
@@ -180,6 +180,9 @@
 /// in time, or others come first.
 pub async fn enter(call: &mut Call) -> Result<(), Refusal> {
     let entry = call.entry.clone();
+    if !entry.settings.load().admission {
+        return Ok(());
+    }
     let level = entry.admission.level(&call.service);
     call.level = level;
     let workspace = call.workspace.as_ref().map(|w| w.name.clone());
@@ -294,6 +297,9 @@
 
 /// Updates the levels of all services from the sums over all entries.
 pub fn refresh(entry: &Entry) {
+    if !entry.settings.load().admission {
+        return;
+    }
     let Some(catalog) = entry.catalog.load() else {
         return;
     };
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -234,6 +234,7 @@
     pub fn reload(&self, settings: Settings) {
         let settings = Settings {
             hedge_percent: self.settings.load().hedge_percent,
+            admission: self.settings.load().admission,
             ..settings
         };
         if **self.settings.load() == settings {
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -44,6 +44,10 @@
     /// It comes from the flags and not from the settings file, so it does not change at
     /// a reload.
     pub hedge_percent: f64,
+    /// Whether requests are held and refused early while servers are short of capacity.
+    ///
+    /// It is set like the limit of hedged requests.
+    pub admission: bool,
     /// Guarantees of the deployment.
     pub bounds: Bounds,
 }
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -40,6 +40,9 @@
 /// Flag of the extra work of hedged requests.
 const HEDGE_FLAG: &str = "hedge-extra-work";
 
+/// Flag that has entries refuse requests early while servers are short of capacity.
+const ADMISSION_FLAG: &str = "admission";
+
 /// All settings of a node.
 pub const SETTINGS: [Setting; 12] = [
     setting("id", "CASSIALOCK_ID", "", "name of this node"),
@@ -97,6 +100,12 @@
         "0",
         "extra work of hedged requests in percent of the work of a service, 0 (off) to 20",
     ),
+    setting(
+        ADMISSION_FLAG,
+        "CASSIALOCK_ADMISSION",
+        "off",
+        "on: entries order and refuse requests early while servers are short of capacity",
+    ),
     setting(
         "log-format",
         "CASSIALOCK_LOG_FORMAT",
@@ -238,6 +247,14 @@
     text.split(',').map(parse_address).collect()
 }
 
+fn parse_switch(text: &str) -> Result<bool, String> {
+    match text {
+        "on" => Ok(true),
+        "off" => Ok(false),
+        _ => Err(format!("expected on or off, got {text:?}")),
+    }
+}
+
 fn parse_seconds(text: &str) -> Result<Duration, String> {
     match text.parse() {
         Ok(seconds @ 1..=3_600) => Ok(Duration::from_secs(seconds)),
@@ -280,10 +297,13 @@
         let policy = reader.read("policy", str::parse);
         let drain = reader.read("drain-s", parse_seconds);
         let hedge_percent = reader.read(HEDGE_FLAG, hedge::parse_percent);
+        let admission = reader.read(ADMISSION_FLAG, parse_switch);
         let log_format = reader.read("log-format", str::parse);
         let log_level = reader.read("log-level", |text| {
             text.parse().map_err(|_| format!("unknown level {text:?}"))
         });
+        // It is only checked: the project's own interface always has admission control.
+        admission?;
         Some(Self {
             id: id?,
             domain: domain?,
@@ -312,14 +332,35 @@
     flag: &dyn Fn(&str) -> Option<String>,
     variable: &dyn Fn(&str) -> Option<String>,
 ) -> Result<f64, InvalidSetting> {
+    read_one(HEDGE_FLAG, hedge::parse_percent, flag, variable)
+}
+
+/// Reads only whether requests are refused early while servers are short of capacity.
+///
+/// # Errors
+///
+/// Returns the setting if its value is invalid.
+pub fn read_admission(
+    flag: &dyn Fn(&str) -> Option<String>,
+    variable: &dyn Fn(&str) -> Option<String>,
+) -> Result<bool, InvalidSetting> {
+    read_one(ADMISSION_FLAG, parse_switch, flag, variable)
+}
+
+fn read_one<T: Default>(
+    name: &str,
+    parse: impl FnOnce(&str) -> Result<T, String>,
+    flag: &dyn Fn(&str) -> Option<String>,
+    variable: &dyn Fn(&str) -> Option<String>,
+) -> Result<T, InvalidSetting> {
     let mut reader = Reader {
         flag,
         variable,
         invalid: Vec::new(),
     };
-    let percent = reader.read(HEDGE_FLAG, hedge::parse_percent);
+    let value = reader.read(name, parse);
     match reader.invalid.pop() {
         Some(invalid) => Err(invalid),
-        None => Ok(percent.unwrap_or_default()),
+        None => Ok(value.unwrap_or_default()),
     }
 }
--- a/src/platform/settings_file.rs
+++ b/src/platform/settings_file.rs
@@ -157,6 +157,7 @@
         millicores: (wire.limits.cpu_share * wire.limits.cpu_cores.unwrap_or(1.0) * 1_000.0) as u32,
         // The file has no such field; the flags of the daemon set it.
         hedge_percent: 0.0,
+        admission: false,
         bounds: bounds(&wire.bounds)?,
     })
 }
--- a/tests/entry/fakes.rs
+++ b/tests/entry/fakes.rs
@@ -253,6 +253,7 @@
         millicores: 250,
         is_first_start: false,
         hedge_percent: 0.0,
+        admission: false,
         bounds: Bounds::default(),
     }
 }
--- a/tests/entry/harness.rs
+++ b/tests/entry/harness.rs
@@ -298,6 +298,7 @@
             objects,
         };
         let mut settings = fakes::settings();
+        settings.admission = true;
         let port = reserve_port();
         let front = port.local_addr().unwrap();
         settings.front = Some(front);
