--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -44,7 +44,7 @@
 const ADMISSION_FLAG: &str = "admission";
 
 /// All settings of a node.
-pub const SETTINGS: [Setting; 12] = [
+pub const SETTINGS: [Setting; 13] = [
     setting("id", "CASSIALOCK_ID", "", "name of this node"),
     setting(
         "domain",
