--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -40,3 +40,4 @@
 mod speed;
 mod sse;
 mod usage;
+mod work;
--- /dev/null
+++ b/tests/decisions/work.rs
@@ -0,0 +1,97 @@
+//! Tests of the measured work of requests and of the servers planned by it.
+
+use std::time::Duration;
+
+use cassialock::core::fleet::load::LoadEstimator;
+use cassialock::core::fleet::load::Traffic;
+use cassialock::core::fleet::work::WorkMeter;
+use cassialock::core::route::speed::Work;
+use cassialock::core::time::Time;
+
+/// Time that a token takes at an idle server, in milliseconds.
+const TOKEN_MS: f64 = 0.026;
+
+const FRESH: Duration = Duration::from_millis(5);
+
+fn work(tokens: f64, running: f64) -> Work {
+    Work {
+        uncached_tokens: tokens,
+        running,
+        ..Work::default()
+    }
+}
+
+fn took(tokens: f64, queue_ms: f64) -> Duration {
+    Duration::from_secs_f64((tokens * TOKEN_MS + queue_ms) / 1_000.0)
+}
+
+/// Guards against orders that grow with the queues at overloaded servers.
+#[test]
+fn responses_of_busy_servers_and_old_reports_do_not_count() {
+    let mut meter = WorkMeter::new();
+    for _ in 0..100 {
+        meter.record(&work(3_000.0, 0.0), FRESH, took(3_000.0, 0.0));
+        meter.record(&work(3_000.0, 6.0), FRESH, took(3_000.0, 2_000.0));
+        let stale = Duration::from_secs(2);
+        meter.record(&work(3_000.0, 0.0), stale, took(3_000.0, 2_000.0));
+    }
+    let mean = meter.mean().unwrap().as_secs_f64();
+    assert!((mean - 0.078).abs() < 0.001, "{mean}");
+}
+
+#[test]
+fn few_responses_tell_nothing() {
+    let mut meter = WorkMeter::new();
+    for _ in 0..19 {
+        meter.record(&work(3_000.0, 0.0), FRESH, took(3_000.0, 0.0));
+    }
+    assert_eq!(meter.mean(), None);
+}
+
+fn planned(work: Option<Duration>, traffic: &Traffic) -> u32 {
+    let mut load = LoadEstimator::new();
+    load.set_work(work);
+    for ms in (0..20_000).step_by(500) {
+        load.record(traffic, Time::from_millis(ms));
+    }
+    load.estimate(16, Time::from_millis(20_000)).servers
+}
+
+/// Guards against too few servers where prompts keep them busy and few slots are in use.
+#[test]
+fn servers_are_planned_for_prompts_that_keep_them_busy() {
+    let traffic = Traffic {
+        in_flight: 200.0,
+        arrival_rate: 600.0,
+        completion_rate: 600.0,
+    };
+    assert_eq!(planned(None, &traffic), 18, "by slots");
+    let mean = Duration::from_millis(30);
+    assert_eq!(planned(Some(mean), &traffic), 60, "by work");
+    let short = Duration::from_millis(1);
+    assert_eq!(planned(Some(short), &traffic), 18, "slots bind");
+}
+
+/// Guards against orders for many times the load when requests pile up at few servers.
+#[test]
+fn requests_that_pile_up_do_not_multiply_the_servers() {
+    let usual = Traffic {
+        in_flight: 200.0,
+        arrival_rate: 600.0,
+        completion_rate: 600.0,
+    };
+    let piled = Traffic {
+        in_flight: 1_500.0,
+        completion_rate: 300.0,
+        ..usual
+    };
+    let mut load = LoadEstimator::new();
+    load.set_work(Some(Duration::from_millis(30)));
+    for ms in (0..20_000).step_by(500) {
+        load.record(&usual, Time::from_millis(ms));
+    }
+    for ms in (20_000..30_000).step_by(500) {
+        load.record(&piled, Time::from_millis(ms));
+    }
+    assert!(load.estimate(16, Time::from_millis(30_000)).servers <= 61);
+}
