Place requests without the learned ratios, and measure work at servers expected idle

Requests to servers with a fresh report of no other request are so few that the work stayed unknown until the servers were overloaded. The learned speeds stay as telemetry.

--- a/src/core/fleet/load.rs
+++ b/src/core/fleet/load.rs
@@ -14,12 +14,11 @@
 /// Largest fraction of a server's slots that is planned for.
 const MAX_SLOT_FRACTION: f64 = 0.7;
 
-/// Fraction of the time for which servers may be busy reading prompts, by the measured work.
+/// Fraction of the time for which servers may be busy reading prompts.
 ///
-/// At twice this fraction a request waits for one and a half times the work of another one
-/// on average. The measured work is about half of the real one: idle servers are the faster
-/// ones, and prompt parts that are expected in a cache are not always there.
-const TARGET_BUSY_FRACTION: f64 = 0.3;
+/// At this fraction a request waits for one and a half times the work of another one on
+/// average; the wait grows without bound towards 1.
+const TARGET_BUSY_FRACTION: f64 = 0.6;
 
 /// Multiple of the shortest request duration up to which a running request counts as
 /// load if the work of requests is known.
--- a/src/core/fleet/work.rs
+++ b/src/core/fleet/work.rs
@@ -4,27 +4,17 @@
 
 use crate::core::route::speed::Work;
 
-/// Factor by which the weight of earlier responses of idle servers shrinks with each
-/// further one.
+/// Factor by which the weight of earlier requests shrinks with each further one.
 ///
-/// The times vary by more than their mean, so the mean of about a hundred is needed to know
-/// it within an eighth.
-const TIME_DECAY: f64 = 0.99;
-
-/// The same for the sizes of requests.
-///
-/// Caches that are lost with their servers make requests larger for some seconds, which
-/// servers that start later do not help against.
-const SIZE_DECAY: f64 = 0.998;
+/// The sizes of requests vary by more than their mean, so the mean of about a hundred is
+/// needed to know it within an eighth.
+const DECAY: f64 = 0.99;
 
 /// Weight of the requests from which on the work is known.
 const MIN_REQUESTS: f64 = 20.0;
 
-/// Expected number of other requests up to which a server counts as idle.
-const MAX_IDLE_REQUESTS: f64 = 0.5;
-
-/// Age up to which a load report shows that a server is idle.
-const MAX_REPORT_AGE: Duration = Duration::from_millis(150);
+/// Expected number of running requests up to which a server counts as idle.
+const MAX_IDLE_RUNNING: f64 = 0.5;
 
 /// Measures the time for which a request keeps a server busy until its response begins.
 ///
@@ -48,19 +38,17 @@
         Self::default()
     }
 
-    /// Records a request whose response began after `took`; the load of its server was
-    /// reported `report_age` before it was sent.
-    pub fn record(&mut self, work: &Work, report_age: Duration, took: Duration) {
+    /// Records a request whose response began after `took`.
+    pub fn record(&mut self, work: &Work, took: Duration) {
         let tokens = work.uncached_tokens.max(0.0);
-        self.tokens = self.tokens * SIZE_DECAY + tokens;
-        self.requests = self.requests * SIZE_DECAY + 1.0;
-        let is_idle = work.running + work.waiting <= MAX_IDLE_REQUESTS;
-        if !is_idle || report_age > MAX_REPORT_AGE {
+        self.tokens = self.tokens * DECAY + tokens;
+        self.requests = self.requests * DECAY + 1.0;
+        if work.running + work.waiting > MAX_IDLE_RUNNING {
             return;
         }
-        self.idle_ms = self.idle_ms * TIME_DECAY + took.as_secs_f64() * 1_000.0;
-        self.idle_tokens = self.idle_tokens * TIME_DECAY + tokens;
-        self.idle_requests = self.idle_requests * TIME_DECAY + 1.0;
+        self.idle_ms = self.idle_ms * DECAY + took.as_secs_f64() * 1_000.0;
+        self.idle_tokens = self.idle_tokens * DECAY + tokens;
+        self.idle_requests = self.idle_requests * DECAY + 1.0;
     }
 
     /// Returns the mean work of a request, once it is known.
--- a/src/core/route/placement.rs
+++ b/src/core/route/placement.rs
@@ -182,23 +182,14 @@
     }
 
     /// Records the time until a response began.
-    ///
-    /// `report_age` is the age of the server's load report when it was chosen, if it was
-    /// chosen by predicted time.
-    pub fn record_first(
-        &mut self,
-        service: &Name,
-        work: &Work,
-        report_age: Option<Duration>,
-        took: Duration,
-    ) {
+    pub fn record_first(&mut self, service: &Name, work: &Work, took: Duration) {
         let Some(prior) = self.priors.get_mut(service) else {
             return;
         };
         prior.record_first(work, took);
-        if let Some(age) = report_age.filter(|_| prior.is_active()) {
+        if prior.is_active() {
             let meter = self.meters.get_or_insert_with(service, WorkMeter::new);
-            meter.record(work, age, took);
+            meter.record(work, took);
         }
     }
 
--- a/src/entry/backends/placing.rs
+++ b/src/entry/backends/placing.rs
@@ -13,9 +13,8 @@
 use crate::core::route::servers::notice::Change;
 use crate::core::route::servers::notice::Notice;
 use crate::core::route::speed::Estimates;
-use crate::core::route::speed::Ratio;
+use crate::core::route::speed::Unlearned;
 use crate::core::route::speed::Work;
-use crate::core::route::speed::table::SpeedTable;
 use crate::core::time::Time;
 use crate::entry::Entry;
 use crate::entry::adapter::BackendServer;
@@ -69,8 +68,7 @@
         now: Time,
     ) -> Vec<(Name, BackendServer)> {
         let state = self.state.lock().unwrap();
-        let ratios = Ratios(&state.speeds);
-        let Some(query) = query(&state.servers, &ratios, criteria, criteria.avoid, now) else {
+        let Some(query) = query(&state.servers, &Unlearned, criteria, criteria.avoid, now) else {
             return Vec::new();
         };
         let ids = state.placement.to_probe(&query, asked);
@@ -129,15 +127,13 @@
         if !self.placement.is_active(criteria.service) {
             return None;
         }
-        let ratios = Ratios(&self.speeds);
-        let query = query(&self.servers, &ratios, criteria, avoid, now)?;
+        let query = query(&self.servers, &Unlearned, criteria, avoid, now)?;
         self.placement.choose(&query)
     }
 
     /// Returns the work of a request at a server that was chosen by another policy.
     pub(super) fn work(&self, criteria: &Criteria<'_>, id: &str, now: Time) -> Work {
-        let ratios = Ratios(&self.speeds);
-        let query = query(&self.servers, &ratios, criteria, &[], now);
+        let query = query(&self.servers, &Unlearned, criteria, &[], now);
         query.map_or_else(Work::default, |query| self.placement.work(&query, id))
     }
 
@@ -175,8 +171,7 @@
     ) {
         // The sessions of a trial are placed without a look at the work.
         if *work != Work::default() {
-            let report_age = forecast.map(|forecast| forecast.age);
-            self.placement.record_first(service, work, report_age, took);
+            self.placement.record_first(service, work, took);
         }
         if let Some(forecast) = forecast {
             let error = took.abs_diff(forecast.first).min(MAX_ERROR);
@@ -189,22 +184,6 @@
     }
 }
 
-/// The learned speeds of servers, without the learned times of services.
-///
-/// Placement by the linear fit of the times served fewer requests in time than the order
-/// by the work before a request.
-struct Ratios<'a>(&'a SpeedTable);
-
-impl Estimates for Ratios<'_> {
-    fn expected_first(&self, _service: &str, _work: &Work) -> Option<Duration> {
-        None
-    }
-
-    fn ratio(&self, server: &str, now: Time) -> Ratio {
-        self.0.ratio(server, now)
-    }
-}
-
 /// Returns the query for a request, if it may be placed by predicted time.
 fn query<'a>(
     servers: &'a Servers,
