Take the work of requests from the learned times

The learned linear times rest on the responses of all entries, and the part that grows with the uncached tokens is the work.

--- a/src/core/fleet/load.rs
+++ b/src/core/fleet/load.rs
@@ -16,9 +16,9 @@
 
 /// Fraction of the time for which servers may be busy reading prompts.
 ///
-/// At this fraction a request waits for one and a half times the work of another one on
-/// average; the wait grows without bound towards 1.
-const TARGET_BUSY_FRACTION: f64 = 0.6;
+/// At this fraction a request waits for the work of another one on average; the wait grows
+/// without bound towards 1.
+const TARGET_BUSY_FRACTION: f64 = 0.5;
 
 /// Multiple of the shortest request duration up to which a running request counts as
 /// load if the work of requests is known.
--- a/src/core/route/placement.rs
+++ b/src/core/route/placement.rs
@@ -189,14 +189,14 @@
         prior.record_first(work, took);
         if prior.is_active() {
             let meter = self.meters.get_or_insert_with(service, WorkMeter::new);
-            meter.record(work, took);
+            meter.record(work);
         }
     }
 
     /// Returns the mean time for which a request keeps a server of the service busy until
     /// its response begins, if it is known.
-    pub fn mean_work(&self, service: &str) -> Option<Duration> {
-        self.meters.get(service)?.mean()
+    pub fn mean_work(&self, service: &str, estimates: &dyn Estimates) -> Option<Duration> {
+        self.meters.get(service)?.mean(service, estimates)
     }
 
     /// Returns the candidates for a request.
--- a/src/core/route/speed/check.rs
+++ b/src/core/route/speed/check.rs
@@ -17,7 +17,7 @@
 const NORMAL_RATIO: f64 = 1.25;
 
 /// Maximum number of changes that are kept to be reported.
-const MAX_CHANGES: usize = 32;
+const MAX_CHANGES: usize = 2;
 
 /// Checks between two that drop what has decayed.
 const PRUNE_CHECKS: u32 = 32;
--- a/src/entry/backends/placing.rs
+++ b/src/entry/backends/placing.rs
@@ -82,7 +82,8 @@
     /// Returns the mean time for which a request keeps a server of a service busy until its
     /// response begins, if it is known.
     pub fn mean_work(&self, service: &str) -> Option<Duration> {
-        self.state.lock().unwrap().placement.mean_work(service)
+        let state = self.state.lock().unwrap();
+        state.placement.mean_work(service, &state.speeds)
     }
 
     /// Records the outcome of a probe that took `took`.
