Name the load tool's deployments for what they do

Cause: two deployments of the load tool bore names of the users' ones, and an unknown name was taken for one of them. Change: they are designs and labels; another name is an error.

--- a/src/bin/cassialock-load.rs
+++ b/src/bin/cassialock-load.rs
@@ -86,9 +86,9 @@
     help: bool,
     #[options(
         no_short,
-        help = "copa-alta or hanul",
+        help = "designs or labels",
         meta = "NAME",
-        default = "hanul"
+        default = "labels"
     )]
     deployment: String,
     #[options(no_short, help = "requests per second", meta = "N", default = "120")]
@@ -382,17 +382,17 @@
         seed: flags.seed,
         prefix_count: 40,
     };
+    let Some(spec) = DeploymentSpec::named(&flags.deployment) else {
+        eprintln!("cassialock-load: --deployment: expected designs or labels");
+        return false;
+    };
     let mut rows = Vec::new();
     let mut reports = Vec::new();
     for policy in POLICIES {
         if flags.policy.is_some_and(|only| only != policy) {
             continue;
         }
-        let spec = match flags.deployment.as_str() {
-            "copa-alta" => DeploymentSpec::copa_alta(),
-            _ => DeploymentSpec::hanul(),
-        };
-        let report = match benchmark::run_open_loop(spec.with_policy(policy), &plan).await {
+        let report = match benchmark::run_open_loop(spec.clone().with_policy(policy), &plan).await {
             Ok(report) => report,
             Err(e) => {
                 eprintln!("cassialock-load: {e}");
--- a/src/demo/mod.rs
+++ b/src/demo/mod.rs
@@ -127,7 +127,7 @@
         is_json,
         "Starting a platform, 9 model engines, 3 plain servers and 3 nodes.",
     );
-    let mut deployment = Deployment::start(DeploymentSpec::copa_alta()).await?;
+    let mut deployment = Deployment::start(DeploymentSpec::designs()).await?;
     if hold {
         return run_until_interrupted(&deployment, is_json).await;
     }
--- a/src/load/benchmark.rs
+++ b/src/load/benchmark.rs
@@ -287,7 +287,7 @@
 
 /// Returns a deployment of one engine and one node, where each token takes `token_time`.
 fn single_engine(token_time: Duration) -> DeploymentSpec {
-    let mut spec = DeploymentSpec::hanul().with_engines(1).with_nodes(1);
+    let mut spec = DeploymentSpec::labels().with_engines(1).with_nodes(1);
     spec.costs.step_us = token_time.as_micros() as u64;
     spec.costs.request_us = 0;
     spec.costs.prefill_us = 1;
--- a/src/load/deploy/spec.rs
+++ b/src/load/deploy/spec.rs
@@ -34,8 +34,17 @@
 }
 
 impl DeploymentSpec {
-    /// Returns the specification of the Copa Alta Casas del Árbol deployment.
-    pub fn copa_alta() -> Self {
+    /// Returns the deployment with a name, `designs` or `labels`.
+    pub fn named(name: &str) -> Option<Self> {
+        match name {
+            "designs" => Some(Self::designs()),
+            "labels" => Some(Self::labels()),
+            _ => None,
+        }
+    }
+
+    /// Returns a deployment that drafts designs, with 9 engines.
+    pub fn designs() -> Self {
         Self {
             domains: vec!["rionegro", "guatape", "santa-elena"],
             model: "dosel-llm",
@@ -57,8 +66,8 @@
         }
     }
 
-    /// Returns the specification of the Hanul Labelworks deployment.
-    pub fn hanul() -> Self {
+    /// Returns a deployment that translates labels, with 12 engines.
+    pub fn labels() -> Self {
         Self {
             domains: vec!["seoul-a", "seoul-b", "seoul-c"],
             model: "cassia-pool",
--- a/src/load/fault_matrix/mod.rs
+++ b/src/load/fault_matrix/mod.rs
@@ -112,11 +112,9 @@
     }
 
     fn spec(&self) -> DeploymentSpec {
-        let spec = match self.deployment {
-            "hanul" => DeploymentSpec::hanul(),
-            _ => DeploymentSpec::copa_alta(),
-        };
-        spec.with_engines(ENGINES)
+        let spec = DeploymentSpec::named(self.deployment);
+        spec.unwrap_or_else(DeploymentSpec::designs)
+            .with_engines(ENGINES)
     }
 
     /// Starts a deployment, injects the faults under load and checks the guarantees.
@@ -148,7 +146,7 @@
 /// Returns one case for each fault and deployment.
 pub fn single_fault_cases() -> Vec<Case> {
     let mut cases = Vec::new();
-    for deployment in ["copa-alta", "hanul"] {
+    for deployment in ["designs", "labels"] {
         for fault in fault::ALL {
             cases.push(Case::new(deployment, &[fault]));
         }
@@ -165,9 +163,9 @@
                 continue;
             }
             let deployment = if (a + b).is_multiple_of(2) {
-                "copa-alta"
+                "designs"
             } else {
-                "hanul"
+                "labels"
             };
             cases.push(Case::new(deployment, &[*first, *second]));
         }
--- a/src/load/prompts.rs
+++ b/src/load/prompts.rs
@@ -4,10 +4,10 @@
 
 use crate::core::completion::request::Endpoint;
 
-/// Label prompts of the Hanul Labelworks deployment, one on each line.
+/// Prompts about product labels, one on each line.
 const LABELS: &str = include_str!("../../data/labels.txt");
 
-/// Site-survey prompts of the Copa Alta Casas del Árbol deployment, one on each line.
+/// Prompts about site surveys, one on each line.
 const SURVEYS: &str = include_str!("../../data/surveys.txt");
 
 /// Instructions in the system message of every request, after the prefix number.
--- a/tests/contract/cli.rs
+++ b/tests/contract/cli.rs
@@ -33,7 +33,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn commands_return_their_exit_codes() {
-    let spec = DeploymentSpec::hanul().with_engines(1).with_nodes(2);
+    let spec = DeploymentSpec::labels().with_engines(1).with_nodes(2);
     let deployment = Deployment::start(spec).await.unwrap();
     let node = deployment.entries().join(",");
     let good = write_file(
--- a/tests/system/explained.rs
+++ b/tests/system/explained.rs
@@ -44,7 +44,7 @@
 /// leaves one out without a reason, or that changes what it explains.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_explanation_names_the_server_that_is_chosen_and_changes_nothing() {
-    let spec = DeploymentSpec::hanul().with_engines(3).with_nodes(1);
+    let spec = DeploymentSpec::labels().with_engines(3).with_nodes(1);
     let deployment = Deployment::start(spec).await.unwrap();
     let address = deployment.entries().join(",");
     let node = &deployment.nodes[0].as_ref().unwrap().node;
--- a/tests/system/hedged.rs
+++ b/tests/system/hedged.rs
@@ -27,7 +27,7 @@
 const ABREAST: usize = 6;
 
 async fn start(percent: f64) -> Deployment {
-    let spec = DeploymentSpec::hanul().with_engines(3).with_nodes(1);
+    let spec = DeploymentSpec::labels().with_engines(3).with_nodes(1);
     Deployment::start(spec.with_hedging(percent)).await.unwrap()
 }
 
