--- a/src/core/route/placement.rs
+++ b/src/core/route/placement.rs
@@ -337,30 +337,6 @@
         predictions.collect()
     }
 
-    /// Returns the work of a request at a server that was chosen by another policy.
-    pub fn work(&self, query: &Query<'_>, id: &str) -> Work {
-        let prompt = &query.prompt;
-        let (Some(prior), Some(server)) =
-            (self.priors.get(query.filter.service), query.servers.get(id))
-        else {
-            return Work::default();
-        };
-        let load = server.last_load();
-        let inputs = Inputs {
-            uncached_tokens: self.uncached_tokens(prompt, id, false, query.now),
-            output_tokens: prompt.output_tokens,
-            standing: Standing {
-                load,
-                same_domain: true,
-                reclaimable: false,
-                can_probe: false,
-            },
-            sent_tokens: self.sent_tokens(id, load, query.now),
-            ratio: query.estimates.ratio(id, query.now),
-        };
-        prior.work(&inputs, query.now)
-    }
-
     /// Places a request, or returns `None` if no candidate accepts it.
     pub fn choose(&mut self, query: &Query<'_>) -> Option<Placed> {
         let seats = self.candidates(query);
--- a/src/core/route/servers/cold/pacing.rs
+++ b/src/core/route/servers/cold/pacing.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use crate::core::Name;
 use crate::core::route::Candidate;
 use crate::core::route::pacer;
 use crate::core::route::pacer::Pacer;
@@ -44,16 +43,12 @@
         coldness.left.map_or(wait, |left| wait.min(left))
     }
 
-    /// Returns the sorted candidates that are not chosen because they are cold.
-    pub fn cold_held(&self, filter: &Filter<'_>, now: Time) -> Vec<Name> {
-        if self.cold.rules.get(filter.service).is_none() {
-            return Vec::new();
-        }
-        let candidates = self.subset(filter.service, filter.version);
-        let held = candidates.filter(|server| !self.cold_wait(server, now).is_zero());
-        let mut held: Vec<Name> = held.map(|server| server.vm.id.clone()).collect();
-        held.sort_unstable();
-        held
+    /// Returns whether a candidate is not chosen because it is cold and has had its share.
+    pub fn has_cold_held(&self, filter: &Filter<'_>, now: Time) -> bool {
+        self.cold.rules.get(filter.service).is_some()
+            && self
+                .subset(filter.service, filter.version)
+                .any(|server| !self.cold_wait(server, now).is_zero())
     }
 
     /// Counts a request to a server against this node's share, and returns whether the
--- a/src/core/route/servers/mod.rs
+++ b/src/core/route/servers/mod.rs
@@ -418,23 +418,6 @@
 
     /// Returns the candidates for a request that match `filter`.
     pub fn candidates(&self, filter: &Filter<'_>, request: &Request, now: Time) -> Vec<Candidate> {
-        let candidates = self.candidates_with(filter, request, &[], now);
-        if filter.excluded.is_empty() {
-            self.prefer_due(candidates, now)
-        } else {
-            candidates
-        }
-    }
-
-    /// Returns the candidates for a request, and those of the sorted servers `held` whose
-    /// rate is used up.
-    pub fn candidates_with(
-        &self,
-        filter: &Filter<'_>,
-        request: &Request,
-        held: &[Name],
-        now: Time,
-    ) -> Vec<Candidate> {
         let servers: Vec<&Server> = self
             .subset(filter.service, filter.version)
             .filter(|server| !filter.excluded.contains(&server.vm.id))
@@ -442,11 +425,10 @@
             .collect();
         // If all servers are ejected, using one of them is better than using none.
         let all_ejected = servers.iter().all(|server| !server.is_usable(now));
-        let is_held = |server: &Server| held.binary_search(&server.vm.id).is_ok();
-        servers
+        let candidates = servers
             .into_iter()
             .filter(|server| all_ejected || server.is_usable(now))
-            .filter(|server| is_held(server) || self.pacing_of(server, now).is_zero())
+            .filter(|server| self.pacing_of(server, now).is_zero())
             .filter(|server| !filter.exclude_suspected || server.suspect_requests == 0)
             .map(|server| Candidate {
                 id: server.vm.id.clone(),
@@ -456,8 +438,13 @@
                 same_domain: server.vm.domain == self.domain,
                 reclaimable: server.vm.class == Class::Reclaimable,
                 request_ms: server.request_ms,
-            })
-            .collect()
+            });
+        let candidates = candidates.collect();
+        if filter.excluded.is_empty() {
+            self.prefer_due(candidates, now)
+        } else {
+            candidates
+        }
     }
 
     /// Returns the number of further requests that this node's candidates for a service
--- a/src/entry/backends/cold.rs
+++ b/src/entry/backends/cold.rs
@@ -3,8 +3,6 @@
 use crate::core::Name;
 use crate::core::catalog::Catalog;
 use crate::core::name_map::NameMap;
-use crate::core::route::Policy;
-use crate::core::route::Request as RouteRequest;
 use crate::core::route::servers::Filter;
 use crate::core::route::servers::cold::ColdStart;
 use crate::core::route::servers::cold::Coldness;
@@ -47,21 +45,9 @@
         !server.is_leaving && self.servers.is_starting(&id, now)
     }
 
-    /// Counts a request that goes to another server because one has had its share.
-    pub(super) fn count_diverted(
-        &mut self,
-        filter: &Filter<'_>,
-        request: &RouteRequest,
-        random: u64,
-        now: Time,
-    ) {
-        let held = self.servers.cold_held(filter, now);
-        if held.is_empty() {
-            return;
-        }
-        let candidates = self.servers.candidates_with(filter, request, &held, now);
-        let wanted = self.policy.choose(request, &candidates, random);
-        if wanted.is_some_and(|at| held.binary_search(&candidates[at].id).is_ok()) {
+    /// Counts a request that is placed while a cold candidate has had its share.
+    pub(super) fn count_diverted(&self, filter: &Filter<'_>, now: Time) {
+        if self.servers.has_cold_held(filter, now) {
             let service = filter.service.to_string();
             metrics::counter!("cassialock_cold_diverted_total", "service" => service).increment(1);
         }
--- a/src/entry/backends/hedge.rs
+++ b/src/entry/backends/hedge.rs
@@ -49,13 +49,4 @@
             forecast: None,
         })
     }
-
-    /// Returns the number of requests that the servers of a service run at the same time,
-    /// apart from those that leave.
-    pub fn total_slots(&self, service: &str) -> f64 {
-        let state = self.state.lock().unwrap();
-        let servers = state.registered.iter().map(|(_, server)| server);
-        let present = servers.filter(|server| *server.service == *service && !server.is_leaving);
-        present.map(|server| f64::from(server.slots)).sum()
-    }
 }
--- a/src/entry/backends/placing.rs
+++ b/src/entry/backends/placing.rs
@@ -132,12 +132,6 @@
         self.placement.choose(&query)
     }
 
-    /// Returns the work of a request at a server that was chosen by another policy.
-    pub(super) fn work(&self, criteria: &Criteria<'_>, id: &str, now: Time) -> Work {
-        let query = query(&self.servers, &Unlearned, criteria, &[], now);
-        query.map_or_else(Work::default, |query| self.placement.work(&query, id))
-    }
-
     /// Returns the last load report of a server and its time.
     pub(super) fn last_load(&self, id: &str) -> Option<(LoadReport, Time)> {
         self.servers.get(id)?.last_load()
--- a/tests/decisions/pacing.rs
+++ b/tests/decisions/pacing.rs
@@ -4,7 +4,6 @@
 
 use cassialock::core::Name;
 use cassialock::core::route::pacer::Pacer;
-use cassialock::core::route::servers::Class;
 use cassialock::core::route::servers::Servers;
 use cassialock::core::route::servers::Vm;
 use cassialock::core::route::servers::limit::LimitEnd;
@@ -13,26 +12,16 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use crate::fixtures;
+
 const STEP: Duration = Duration::from_millis(10);
 const WINDOW: Duration = Duration::from_secs(4);
 
-fn vm(index: usize) -> Vm {
-    Vm {
-        id: format!("i-{index}/1").into(),
-        service: "llm".into(),
-        version: "v1".into(),
-        address: "10.0.0.1:80".into(),
-        domain: format!("domain-{}", index % 3).into(),
-        class: Class::OnDemand,
-        leaving: false,
-    }
-}
-
 /// Returns the most requests that one server gets in a window while `nodes` nodes
 /// with `demand` requests per second each for it share a limit of `limit`.
 fn most_in_window(nodes: usize, servers: usize, demand: f64, limit: f64) -> (usize, f64) {
     let mut rng = SmallRng::seed_from_u64(nodes as u64);
-    let list: Vec<Vm> = (0..servers).map(vm).collect();
+    let list: Vec<Vm> = (0..servers).map(|index| fixtures::vm(index, 1)).collect();
     let id: Name = list[0].id.clone();
     let start = Time::from_millis(1_000_000);
     let mut views = limited_views(nodes, &list, limit, start);
@@ -121,8 +110,8 @@
 fn a_limit_that_is_no_longer_named_ends() {
     let now = Time::from_millis(1_000);
     let mut view = Servers::new("edge-1".into(), "domain-0".into());
-    view.update(&[vm(0)]);
-    let id = vm(0).id;
+    view.update(&[fixtures::vm(0, 1)]);
+    let id = fixtures::vm(0, 1).id;
     assert!(view.record_rate_limit(&id, Some(1.0), 0.0, now));
     assert!(!view.record_rate_limit(&id, Some(1.0), 0.0, now));
     assert!(!view.server_wait(&id, now).is_zero());
@@ -139,7 +128,7 @@
 /// its limit for a while without sending to it, and then turn to it together.
 fn most_after_rest(nodes: usize, servers: usize, limit: f64) -> usize {
     let mut rng = SmallRng::seed_from_u64(nodes as u64);
-    let list: Vec<Vm> = (0..servers).map(vm).collect();
+    let list: Vec<Vm> = (0..servers).map(|index| fixtures::vm(index, 1)).collect();
     let id: Name = list[0].id.clone();
     let start = Time::from_millis(1_000_000);
     let mut views = limited_views(nodes, &list, limit, start);
@@ -179,17 +168,17 @@
 fn two_nodes(limit: f64, now: Time) -> (Vec<Name>, Servers) {
     let names: Vec<Name> = vec!["edge-0".into(), "edge-1".into()];
     let mut view = Servers::new(names[0].clone(), "domain-0".into());
-    view.update(&[vm(0)]);
+    view.update(&[fixtures::vm(0, 1)]);
     view.set_nodes(&names, now);
-    view.record_rate_limit(&vm(0).id, Some(limit), 1.0, now);
+    view.record_rate_limit(&fixtures::vm(0, 1).id, Some(limit), 1.0, now);
     (names, view)
 }
 
 /// Returns how many of `nodes` may ever send to a server with a low limit.
 fn senders(nodes: usize, now: Time) -> Vec<Servers> {
-    let mut views = limited_views(nodes, &[vm(0)], 0.2, now);
+    let mut views = limited_views(nodes, &[fixtures::vm(0, 1)], 0.2, now);
     let later = now + Duration::from_secs(60);
-    views.retain(|view| view.server_wait(&vm(0).id, later).is_zero());
+    views.retain(|view| view.server_wait(&fixtures::vm(0, 1).id, later).is_zero());
     views
 }
 
@@ -198,9 +187,9 @@
     let now = Time::from_millis(1_000_000);
     let sharing = senders(86, now);
     assert_eq!(sharing.len(), 5);
-    let mut views = limited_views(86, &[vm(0)], 0.2, now);
+    let mut views = limited_views(86, &[fixtures::vm(0, 1)], 0.2, now);
     let later = now + Duration::from_secs(60);
-    let is_sharing = |view: &Servers| view.server_wait(&vm(0).id, later).is_zero();
+    let is_sharing = |view: &Servers| view.server_wait(&fixtures::vm(0, 1).id, later).is_zero();
     let left = views.iter().position(is_sharing).unwrap();
     let mut names: Vec<Name> = (0..86).map(|at| format!("edge-{at}").into()).collect();
     names.sort_unstable();
@@ -218,12 +207,12 @@
     let (_, mut told) = two_nodes(1.0, now);
     let later = now + Duration::from_secs(5);
     let (_, mut teller) = two_nodes(1.0, now);
-    teller.record_rate_limit(&vm(0).id, None, 0.0, later);
+    teller.record_rate_limit(&fixtures::vm(0, 1).id, None, 0.0, later);
     let ends = teller.limit_ends(later);
     assert_eq!(ends.len(), 1);
     assert!(told.record_limit_end(&ends[0], later));
     assert!(!told.record_limit_end(&ends[0], later));
-    assert!(told.server_wait(&vm(0).id, later).is_zero());
+    assert!(told.server_wait(&fixtures::vm(0, 1).id, later).is_zero());
     assert_eq!(told.limit_ends(later), ends, "the news is passed on");
 }
 
@@ -231,11 +220,11 @@
 fn a_limit_that_was_named_again_does_not_end_by_old_news() {
     let now = Time::from_millis(1_000_000);
     let (_, mut view) = two_nodes(1.0, now);
-    view.spend_rate(&vm(0).id, now);
+    view.spend_rate(&fixtures::vm(0, 1).id, now);
     let end = LimitEnd {
-        server: vm(0).id,
+        server: fixtures::vm(0, 1).id,
         age: Duration::from_secs(2),
     };
     assert!(!view.record_limit_end(&end, now + Duration::from_secs(1)));
-    assert!(!view.server_wait(&vm(0).id, now).is_zero());
+    assert!(!view.server_wait(&fixtures::vm(0, 1).id, now).is_zero());
 }
