Switch placement by predicted time on by a setting

Cause: the predicted placement, the exchange of speeds and the probes started as soon as a server stated how long work takes, so an operator could not leave them off. The limit of hedged requests and admission control were read one by one, each with its own error path.

Change: the optional features of an entry are one struct that is read from flags and environment variables in one step.

--- a/src/bin/cassialockd.rs
+++ b/src/bin/cassialockd.rs
@@ -98,6 +98,12 @@
         meta = "SWITCH"
     )]
     admission: Option<String>,
+    #[options(
+        no_short,
+        help = "on: place requests by predicted time where servers state their speed",
+        meta = "SWITCH"
+    )]
+    prediction: Option<String>,
     #[options(no_short, help = "log format: text or json", meta = "FORMAT")]
     log_format: Option<String>,
     #[options(
@@ -123,6 +129,7 @@
             "drain-s" => &self.drain_s,
             "hedge-extra-work" => &self.hedge_extra_work,
             "admission" => &self.admission,
+            "prediction" => &self.prediction,
             "log-format" => &self.log_format,
             "log-level" => &self.log_level,
             _ => &None,
@@ -167,25 +174,18 @@
 /// What the file has no field for is read from flags and environment variables.
 fn run_entry(path: &Path, flags: &Flags) -> ExitCode {
     let variable = |name: &str| std::env::var(name).ok();
-    let flag = |flag: &str| flags.get(flag);
-    let hedge_percent = node::settings::read_hedge_percent(&flag, &variable);
-    let admission = node::settings::read_admission(&flag, &variable);
+    let features = node::settings::read_features(&|flag| flags.get(flag), &variable);
     let file = settings_file::read(path);
     if let Err(fault) = &file {
         eprintln!("cassialockd: {fault}");
     }
-    let faults = [hedge_percent.as_ref().err(), admission.as_ref().err()];
-    for fault in faults.into_iter().flatten() {
+    for fault in features.as_ref().err().into_iter().flatten() {
         eprintln!("cassialockd: {fault}");
     }
-    let (Ok(file), Ok(hedge_percent), Ok(admission)) = (file, hedge_percent, admission) else {
+    let (Ok(file), Ok(features)) = (file, features) else {
         return ExitCode::from(2);
     };
-    let settings = entry::settings::Settings {
-        hedge_percent,
-        admission,
-        ..file
-    };
+    let settings = entry::settings::Settings { features, ..file };
     if flags.check {
         println!("all settings are valid");
         return ExitCode::SUCCESS;
--- a/src/entry/admission.rs
+++ b/src/entry/admission.rs
@@ -180,7 +180,7 @@
 /// in time, or others come first.
 pub async fn enter(call: &mut Call) -> Result<(), Refusal> {
     let entry = call.entry.clone();
-    if !entry.settings.load().admission {
+    if !entry.settings.load().features.admission {
         return Ok(());
     }
     let level = entry.admission.level(&call.service);
@@ -297,7 +297,7 @@
 
 /// Updates the levels of all services from the sums over all entries.
 pub fn refresh(entry: &Entry) {
-    if !entry.settings.load().admission {
+    if !entry.settings.load().features.admission {
         return;
     }
     let Some(catalog) = entry.catalog.load() else {
--- a/src/entry/backends/in_flight.rs
+++ b/src/entry/backends/in_flight.rs
@@ -142,7 +142,8 @@
         let load = load.filter(|_| receipt.origin == Origin::Own && !notice.is_misdirected);
         let policy = load.and_then(|load| state.record_load(&self.id, load, before, receipt.now));
         // Speeds are exchanged only for services whose servers state the time of work.
-        if let Some(load) = load.filter(|load| load.work_percent.is_some()) {
+        let is_predicted = state.is_predicted;
+        if let Some(load) = load.filter(|load| is_predicted && load.work_percent.is_some()) {
             let speeds = state.listed_speeds();
             speeds.record_load(&self.service, load, receipt.now);
         }
@@ -189,6 +190,9 @@
         took: Duration,
         now: Time,
     ) -> Option<(Name, f64)> {
+        if !self.is_predicted {
+            return None;
+        }
         let InFlight { id, work, sent, .. } = request;
         let (load, reported) = self.servers.get(id)?.last_load()?;
         let stated = load.work_percent.filter(|_| reported >= *sent)?;
--- a/src/entry/backends/mod.rs
+++ b/src/entry/backends/mod.rs
@@ -24,6 +24,7 @@
 use crate::core::time::Time;
 use crate::entry::Entry;
 use crate::entry::adapter::BackendServer;
+use crate::entry::settings::Settings;
 use crate::telemetry::events::Event;
 
 pub mod cold;
@@ -47,6 +48,8 @@
     policy: SessionAffinity,
     placement: Placement,
     removal_filter: RemovalFilter,
+    /// Whether what servers state of the time of work is used.
+    is_predicted: bool,
 }
 
 /// Identifies the server chosen for an attempt.
@@ -95,16 +98,17 @@
 }
 
 impl Backends {
-    /// Creates an empty view for the node `node` in failure domain `domain`.
-    pub fn new(node: &Name, domain: &Name) -> Self {
+    /// Creates an empty view for the node of `settings`.
+    pub fn new(settings: &Settings) -> Self {
         Self {
             state: Mutex::new(State {
                 registered: NameMap::new(),
-                servers: Servers::new(node.clone(), domain.clone()),
+                servers: Servers::new(settings.node.clone(), settings.domain.clone()),
                 speeds: SpeedTable::new(),
                 policy: SessionAffinity::new(),
                 placement: Placement::new(),
                 removal_filter: RemovalFilter::new(),
+                is_predicted: settings.features.prediction,
             }),
         }
     }
--- a/src/entry/backends/placing.rs
+++ b/src/entry/backends/placing.rs
@@ -148,6 +148,9 @@
         before: Option<(LoadReport, Time)>,
         now: Time,
     ) -> Option<PolicyChange> {
+        if !self.is_predicted {
+            return None;
+        }
         let service = &self.registered.get(id)?.service;
         let is_changed = self.placement.record_load(service, load, before, now);
         is_changed.then(|| PolicyChange {
--- a/src/entry/call/hedge.rs
+++ b/src/entry/call/hedge.rs
@@ -314,7 +314,7 @@
     }
 
     fn hedge_percent(&self) -> f64 {
-        self.entry.settings.load().hedge_percent
+        self.entry.settings.load().features.hedge_percent
     }
 }
 
--- a/src/entry/hedging.rs
+++ b/src/entry/hedging.rs
@@ -54,7 +54,7 @@
 /// Updates the gauges of the extra work, and tells which services have not reached their
 /// limit for a window.
 pub fn refresh(entry: &Entry) {
-    let percent = entry.settings.load().hedge_percent;
+    let percent = entry.settings.load().features.hedge_percent;
     let Some(catalog) = entry.catalog.load().filter(|_| percent > 0.0) else {
         return;
     };
@@ -90,7 +90,10 @@
         .with("service", &**service)
         .with("work", own)
         .with("extra_work", extra)
-        .with("limit_percent", entry.settings.load().hedge_percent)
+        .with(
+            "limit_percent",
+            entry.settings.load().features.hedge_percent,
+        )
         .with_ms("window_ms", budget::WINDOW)
 }
 
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -145,7 +145,7 @@
         let now = clock.now();
         let seed = crate::core::hash(&[&settings.node, &now.0.to_string()]);
         Self {
-            backends: Backends::new(&settings.node, &settings.domain),
+            backends: Backends::new(&settings),
             limits: Limits::new(now),
             membership: Membership::new(),
             relay: Relay::new(),
@@ -233,8 +233,7 @@
     /// at the start.
     pub fn reload(&self, settings: Settings) {
         let settings = Settings {
-            hedge_percent: self.settings.load().hedge_percent,
-            admission: self.settings.load().admission,
+            features: self.settings.load().features,
             ..settings
         };
         if **self.settings.load() == settings {
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -38,18 +38,26 @@
     pub millicores: u32,
     /// Whether the whole deployment starts for the first time.
     pub is_first_start: bool,
+    /// Optional features.
+    pub features: Features,
+    /// Guarantees of the deployment.
+    pub bounds: Bounds,
+}
+
+/// Holds the optional features of an entry, which are all off by default.
+///
+/// They come from flags and environment variables and not from the settings file, so they
+/// do not change at a reload.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Features {
     /// Extra work of hedged requests in percent of the work of a service; 0 if they are
     /// off.
-    ///
-    /// It comes from the flags and not from the settings file, so it does not change at
-    /// a reload.
     pub hedge_percent: f64,
     /// Whether requests are held and refused early while servers are short of capacity.
-    ///
-    /// It is set like the limit of hedged requests.
     pub admission: bool,
-    /// Guarantees of the deployment.
-    pub bounds: Bounds,
+    /// Whether requests are placed by predicted time, and servers ordered by the work of
+    /// requests, for services whose servers state how long work takes.
+    pub prediction: bool,
 }
 
 /// Holds the bounds that the deployment guarantees to callers and operators.
--- a/src/entry/speeds.rs
+++ b/src/entry/speeds.rs
@@ -76,6 +76,9 @@
         share,
     } = message;
     let settings = entry.settings.load();
+    if !settings.features.prediction {
+        return;
+    }
     // The entries of the own failure domain report to this one too, if it aggregates.
     let is_own = matches!(&share.scope, Scope::Domain(domain) if *domain == settings.domain);
     if is_own || *node == settings.node {
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -8,6 +8,7 @@
 use crate::core::Name;
 use crate::core::retry::hedge;
 use crate::core::route::PolicyKind;
+use crate::entry::settings::Features;
 use crate::node::logging::Format;
 
 /// The definition of a setting: flag, environment variable, default and help text.
@@ -43,8 +44,11 @@
 /// Flag that has entries refuse requests early while servers are short of capacity.
 const ADMISSION_FLAG: &str = "admission";
 
+/// Flag that has entries place requests by predicted time.
+const PREDICTION_FLAG: &str = "prediction";
+
 /// All settings of a node.
-pub const SETTINGS: [Setting; 13] = [
+pub const SETTINGS: [Setting; 14] = [
     setting("id", "CASSIALOCK_ID", "", "name of this node"),
     setting(
         "domain",
@@ -106,6 +110,12 @@
         "off",
         "on: entries order and refuse requests early while servers are short of capacity",
     ),
+    setting(
+        PREDICTION_FLAG,
+        "CASSIALOCK_PREDICTION",
+        "off",
+        "on: entries place requests by predicted time where servers state their speed",
+    ),
     setting(
         "log-format",
         "CASSIALOCK_LOG_FORMAT",
@@ -224,6 +234,17 @@
             }
         }
     }
+
+    fn read_features(&mut self) -> Option<Features> {
+        let hedge_percent = self.read(HEDGE_FLAG, hedge::parse_percent);
+        let admission = self.read(ADMISSION_FLAG, parse_switch);
+        let prediction = self.read(PREDICTION_FLAG, parse_switch);
+        Some(Features {
+            hedge_percent: hedge_percent?,
+            admission: admission?,
+            prediction: prediction?,
+        })
+    }
 }
 
 fn parse_name(text: &str) -> Result<Name, String> {
@@ -296,14 +317,11 @@
         let node_service = reader.read("node-service", parse_name);
         let policy = reader.read("policy", str::parse);
         let drain = reader.read("drain-s", parse_seconds);
-        let hedge_percent = reader.read(HEDGE_FLAG, hedge::parse_percent);
-        let admission = reader.read(ADMISSION_FLAG, parse_switch);
+        let features = reader.read_features();
         let log_format = reader.read("log-format", str::parse);
         let log_level = reader.read("log-level", |text| {
             text.parse().map_err(|_| format!("unknown level {text:?}"))
         });
-        // It is only checked: the project's own interface always has admission control.
-        admission?;
         Some(Self {
             id: id?,
             domain: domain?,
@@ -314,53 +332,30 @@
             node_service: node_service?,
             policy: policy?,
             drain: drain?,
-            hedge_percent: hedge_percent?,
+            // The others are only checked: they are features of entries.
+            hedge_percent: features?.hedge_percent,
             log_format: log_format?,
             log_level: log_level?,
         })
     }
 }
 
-/// Reads only the extra work of hedged requests, in percent of the work of a service.
+/// Reads only the optional features.
 ///
-/// An entry with a settings file reads it in this way, since the file has no such field.
+/// An entry with a settings file reads them in this way, since the file has no such fields.
 ///
 /// # Errors
 ///
-/// Returns the setting if its value is invalid.
-pub fn read_hedge_percent(
+/// Returns the settings whose values are invalid.
+pub fn read_features(
     flag: &dyn Fn(&str) -> Option<String>,
     variable: &dyn Fn(&str) -> Option<String>,
-) -> Result<f64, InvalidSetting> {
-    read_one(HEDGE_FLAG, hedge::parse_percent, flag, variable)
-}
-
-/// Reads only whether requests are refused early while servers are short of capacity.
-///
-/// # Errors
-///
-/// Returns the setting if its value is invalid.
-pub fn read_admission(
-    flag: &dyn Fn(&str) -> Option<String>,
-    variable: &dyn Fn(&str) -> Option<String>,
-) -> Result<bool, InvalidSetting> {
-    read_one(ADMISSION_FLAG, parse_switch, flag, variable)
-}
-
-fn read_one<T: Default>(
-    name: &str,
-    parse: impl FnOnce(&str) -> Result<T, String>,
-    flag: &dyn Fn(&str) -> Option<String>,
-    variable: &dyn Fn(&str) -> Option<String>,
-) -> Result<T, InvalidSetting> {
+) -> Result<Features, Vec<InvalidSetting>> {
     let mut reader = Reader {
         flag,
         variable,
         invalid: Vec::new(),
     };
-    let value = reader.read(name, parse);
-    match reader.invalid.pop() {
-        Some(invalid) => Err(invalid),
-        None => Ok(value.unwrap_or_default()),
-    }
+    let features = reader.read_features();
+    features.ok_or(reader.invalid)
 }
--- a/src/platform/settings_file.rs
+++ b/src/platform/settings_file.rs
@@ -12,6 +12,7 @@
 use crate::core::name_map::NameMap;
 use crate::core::route::servers::cold;
 use crate::entry::settings::Bounds;
+use crate::entry::settings::Features;
 use crate::entry::settings::Settings;
 
 /// Environment variable that holds the path of the settings file.
@@ -156,8 +157,7 @@
         is_first_start: wire.bootstrap,
         millicores: (wire.limits.cpu_share * wire.limits.cpu_cores.unwrap_or(1.0) * 1_000.0) as u32,
         // The file has no such field; the flags of the daemon set it.
-        hedge_percent: 0.0,
-        admission: false,
+        features: Features::default(),
         bounds: bounds(&wire.bounds)?,
     })
 }
--- a/tests/decisions/cold/mod.rs
+++ b/tests/decisions/cold/mod.rs
@@ -15,6 +15,7 @@
 use cassialock::core::route::servers::cold::Stated;
 use cassialock::core::route::servers::cold::Tolerance;
 use cassialock::core::time::Time;
+use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
--- a/tests/entry/fakes.rs
+++ b/tests/entry/fakes.rs
@@ -35,6 +35,7 @@
 use cassialock::entry::adapter::StoreError;
 use cassialock::entry::adapter::WatchResult;
 use cassialock::entry::settings::Bounds;
+use cassialock::entry::settings::Features;
 use cassialock::entry::settings::Settings;
 use cassialock::platform::protocol::HeaderProtocol;
 use cassialock::telemetry::events::EventLog;
@@ -252,8 +253,10 @@
         memory_limit: 260_000_000,
         millicores: 250,
         is_first_start: false,
-        hedge_percent: 0.0,
-        admission: false,
+        features: Features {
+            prediction: true,
+            ..Features::default()
+        },
         bounds: Bounds::default(),
     }
 }
--- a/tests/entry/harness.rs
+++ b/tests/entry/harness.rs
@@ -278,7 +278,7 @@
     /// server at each of the addresses.
     pub async fn with_hedging(addresses: &[SocketAddr], percent: f64) -> Self {
         let servers: Vec<(SocketAddr, &str)> = addresses.iter().map(|at| (*at, "v1")).collect();
-        let change = |settings: &mut Settings| settings.hedge_percent = percent;
+        let change = |settings: &mut Settings| settings.features.hedge_percent = percent;
         Self::with_settings(backend_objects(&servers), change).await
     }
 
@@ -298,7 +298,7 @@
             objects,
         };
         let mut settings = fakes::settings();
-        settings.admission = true;
+        settings.features.admission = true;
         let port = reserve_port();
         let front = port.local_addr().unwrap();
         settings.front = Some(front);
--- a/tests/entry/hedged.rs
+++ b/tests/entry/hedged.rs
@@ -246,7 +246,7 @@
         let first = Server::start(behaviour).await;
         let second = Server::start(Behaviour::Late(Duration::ZERO)).await;
         let harness = harness(&first, &second).await;
-        harness.reload(|settings| settings.hedge_percent = 0.0);
+        harness.reload(|settings| settings.features.hedge_percent = 0.0);
         let began = Instant::now();
         assert_complete(&harness.send(&request(path)).await, path);
         assert!(began.elapsed() < SLOW, "{path}: {:?}", began.elapsed());
