review: case 8, a part that crashes servers after 250 ms of an answer

Seen: a prompt part that crashes each server 350 ms after its first event is never refused. Cause: an answer counts as sound 250 ms after its first bytes, which clears the features of its request, and the crash that follows is not looked into.

--- a/review/standin-2/cases/mod.rs
+++ b/review/standin-2/cases/mod.rs
@@ -4,6 +4,7 @@
 pub mod endless;
 pub mod gone;
 pub mod heads;
+pub mod part;
 pub mod poison;
 pub mod restored;
 pub mod tenants;
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -14,6 +14,9 @@
     if case == "crashing-server" {
         return cases::poison::server_process(&args.collect::<Vec<_>>());
     }
+    if case == "part-server" {
+        return cases::part::server_process(&args.collect::<Vec<_>>());
+    }
     let path = args.next().unwrap_or_else(|| "record.txt".into());
     net::ms();
     let played = std::panic::catch_unwind(|| match case.as_str() {
@@ -21,6 +24,7 @@
         "gone" => cases::gone::play(),
         "version" => cases::version::play(cases::version::Fault::Status),
         "pace" => cases::version::play(cases::version::Fault::Pace),
+        "part" => cases::part::play(),
         "poison" => cases::poison::play(),
         "restored" => cases::restored::play(),
         "tenants" => cases::tenants::play(),
