Tell requests that crash servers apart by all that servers see of them

Cause: the fingerprint covered workspace, path and body. All queries on a path had one number, and each sound answer cleared it. The class: evidence about one request counts for another that shares its key. Change: core::fingerprint::Identity holds workspace, service, host, method, path, query and body. A request also has the feature of itself without its query, so that a path that crashes servers whatever the query stays blocked. Completions of the node's own interface left out their endpoint, and the place of a repeated request in admission the query; both use it too. Tests that made fingerprints by hand use the new type; the one that marks a hedged request as suspected now names the method that it sends.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -10,6 +10,7 @@
 pub mod catalog;
 pub mod completion;
 pub mod config;
+pub mod fingerprint;
 pub mod fleet;
 pub mod lease;
 pub mod limit;
--- a/src/core/quarantine/features.rs
+++ b/src/core/quarantine/features.rs
@@ -3,13 +3,15 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::core::request::RequestInfo;
-use crate::core::retry::crash::Fingerprint;
+use crate::core::fingerprint::Fingerprint;
+use crate::core::fingerprint::Identity;
+use crate::core::request::PromptPart;
 
 /// A property of a request that may crash the servers that run it.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum Feature {
-    /// The request as a whole, which only its resends share.
+    /// The request as a whole, which only its resends share, or the request without its
+    /// query, which all queries on its path share.
     Request(Fingerprint),
     /// Identifier of a prompt part that other requests may share.
     Part(u64),
@@ -52,14 +54,12 @@
 }
 
 impl Features {
-    /// Returns the features of a request.
-    pub fn new(fingerprint: Fingerprint, request: &RequestInfo) -> Self {
-        let parts = request.shared_parts().iter();
-        let parts = parts.map(|part| Feature::Part(part.id));
-        let all: Vec<Feature> = std::iter::once(Feature::Request(fingerprint))
-            .chain(parts)
-            .collect();
-        Self::from(all)
+    /// Returns the features of a request whose prompt shares `parts` with others.
+    pub fn new(identity: &Identity<'_>, parts: &[PromptPart]) -> Self {
+        let parts = parts.iter().map(|part| Feature::Part(part.id));
+        let exact = [*identity, identity.without_query()];
+        let exact = exact.map(|identity| Feature::Request(identity.fingerprint()));
+        Self::from(parts.chain(exact).collect::<Vec<Feature>>())
     }
 
     /// Iterates over the features in order.
--- a/src/core/retry/crash.rs
+++ b/src/core/retry/crash.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use crate::core::Name;
+use crate::core::fingerprint::Fingerprint;
 use crate::core::hash;
 use crate::core::time::Time;
 
@@ -27,22 +28,6 @@
 /// Maximum number of crashes remembered.
 const MAX_CRASHES: usize = 1_024;
 
-/// Identifies a request by its workspace, service and body, so that resends match.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
-pub struct Fingerprint(pub u64);
-
-impl Fingerprint {
-    /// Computes the fingerprint of a request.
-    pub fn new(workspace: &str, service: &str, body: &[u8]) -> Self {
-        let mut state = xxhash_rust::xxh3::Xxh3::new();
-        for part in [workspace.as_bytes(), service.as_bytes(), body] {
-            state.update(&(part.len() as u64).to_le_bytes());
-            state.update(part);
-        }
-        Self(state.digest())
-    }
-}
-
 /// Crash of one server while it ran a request.
 #[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Crash {
--- a/src/entry/admission.rs
+++ b/src/entry/admission.rs
@@ -22,7 +22,6 @@
 use crate::core::name_map::NameMap;
 use crate::core::refusal::Reason;
 use crate::core::refusal::Refusal;
-use crate::core::retry::crash::Fingerprint;
 use crate::core::time::Time;
 use crate::entry::Entry;
 use crate::entry::call::Call;
@@ -197,7 +196,7 @@
         rank: call.priority(),
         objective,
         deadline: now + left,
-        draw: draw(call, &workspace, level),
+        draw: draw(call, level),
         workspace,
     };
     let random = entry.random_fraction();
@@ -236,11 +235,11 @@
 ///
 /// Repetitions of a request with a body share it; without one, all requests for a path
 /// would.
-fn draw(call: &Call, workspace: &str, level: Level) -> u64 {
+fn draw(call: &Call, level: Level) -> u64 {
     if level == Level::Normal || call.body.is_empty() {
         return call.draw;
     }
-    Fingerprint::new(workspace, &call.request.path, &call.body).0
+    call.fingerprint.0
 }
 
 fn refuse(call: &Call, refused: &Refused) -> Refusal {
--- a/src/entry/call/mod.rs
+++ b/src/entry/call/mod.rs
@@ -14,6 +14,7 @@
 use crate::core::catalog::Route;
 use crate::core::catalog::RouteKind;
 use crate::core::catalog::Workspace;
+use crate::core::fingerprint::Fingerprint;
 use crate::core::limit::scarcity::Level;
 use crate::core::quarantine::features::Features;
 use crate::core::refusal::Reason;
@@ -96,6 +97,8 @@
     pub(super) level: Level,
     attempts: AttemptCounts,
     tried: Vec<Name>,
+    /// Number that resends of the request share.
+    pub(super) fingerprint: Fingerprint,
     features: Features,
     usage_counted: bool,
     /// Id of the last stream event that the caller has received.
--- a/src/entry/call/prepare.rs
+++ b/src/entry/call/prepare.rs
@@ -9,6 +9,7 @@
 use crate::core::catalog::Catalog;
 use crate::core::catalog::Route;
 use crate::core::catalog::Workspace;
+use crate::core::fingerprint::Identity;
 use crate::core::limit::quota::Exceeded;
 use crate::core::limit::scarcity::Level;
 use crate::core::quarantine::features::Features;
@@ -16,7 +17,6 @@
 use crate::core::refusal::Refusal;
 use crate::core::request::RequestInfo;
 use crate::core::retry::AttemptCounts;
-use crate::core::retry::crash::Fingerprint;
 use crate::core::time::Time;
 use crate::entry::Entry;
 use crate::entry::call::Call;
@@ -80,8 +80,17 @@
     let draw = entry.random_u64();
     let service = route.choose_service(draw).cloned().unwrap_or_default();
     let owner = workspace.map_or("", |workspace| &*workspace.name);
-    let fingerprint = Fingerprint::new(owner, &request.path, &body);
-    let features = Features::new(fingerprint, &request);
+    let identity = Identity {
+        workspace: owner,
+        service: &service,
+        host: &request.host,
+        method: head.method.as_str(),
+        path: &request.path,
+        query: head.uri.query(),
+        body: &body,
+    };
+    let fingerprint = identity.fingerprint();
+    let features = Features::new(&identity, request.shared_parts());
     quarantine::check(entry, &features)?;
     if let Some(workspace) = workspace {
         let now = entry.clock.now();
@@ -114,6 +123,7 @@
         level: Level::Normal,
         attempts: AttemptCounts::default(),
         tried: Vec::new(),
+        fingerprint,
         features,
         usage_counted: false,
         hedge: HedgeState::default(),
--- a/src/node/api/llm/call/mod.rs
+++ b/src/node/api/llm/call/mod.rs
@@ -8,10 +8,11 @@
 use crate::core::config::Service;
 use crate::core::config::ServiceKind;
 use crate::core::config::Workspace;
+use crate::core::fingerprint::Fingerprint;
+use crate::core::fingerprint::Identity;
 use crate::core::refusal::Reason;
 use crate::core::refusal::Refusal;
 use crate::core::retry::Cause;
-use crate::core::retry::crash::Fingerprint;
 use crate::core::route::Request as RouteRequest;
 use crate::core::route::prefix;
 use crate::core::verdict::Verdict;
@@ -125,8 +126,17 @@
         };
         let completion = llm::parse(endpoint, &record.body)?;
         let prompt = format!("{} {}", completion.prompt, completion.partial_answer);
+        let identity = Identity {
+            workspace: &record.workspace,
+            service: &completion.model,
+            host: "",
+            method: http::Method::POST.as_str(),
+            path: endpoint.path(),
+            query: None,
+            body: &record.body,
+        };
         Ok(Self {
-            fingerprint: Fingerprint::new(&record.workspace, &completion.model, &record.body),
+            fingerprint: identity.fingerprint(),
             route: RouteRequest {
                 block_hashes: prefix::block_hashes(&prompt),
                 prompt_tokens: completion.prompt_tokens(),
--- a/src/node/backends/mod.rs
+++ b/src/node/backends/mod.rs
@@ -9,8 +9,8 @@
 
 use crate::core::Name;
 use crate::core::config::Service;
+use crate::core::fingerprint::Fingerprint;
 use crate::core::retry::Cause;
-use crate::core::retry::crash::Fingerprint;
 use crate::core::route::Request as RouteRequest;
 use crate::core::route::servers::Filter;
 use crate::core::time::Time;
--- a/tests/contract/frames.rs
+++ b/tests/contract/frames.rs
@@ -1,10 +1,10 @@
 //! Encoding and decoding of the frames between nodes.
 
 use cassialock::core::completion::Progress;
+use cassialock::core::fingerprint::Fingerprint;
 use cassialock::core::limit::Priority;
 use cassialock::core::member::gossip::Fact;
 use cassialock::core::retry::crash::Crash;
-use cassialock::core::retry::crash::Fingerprint;
 use cassialock::core::time::Time;
 use cassialock::frame;
 use cassialock::frame::FrameError;
--- a/tests/decisions/hedge.rs
+++ b/tests/decisions/hedge.rs
@@ -3,14 +3,14 @@
 use std::time::Duration;
 
 use cassialock::core::Name;
+use cassialock::core::fingerprint::Fingerprint;
 use cassialock::core::quarantine::Quarantine;
+use cassialock::core::quarantine::features::Feature;
 use cassialock::core::quarantine::features::Features;
-use cassialock::core::request::RequestInfo;
 use cassialock::core::request::TokenCounts;
 use cassialock::core::retry::AttemptCounts;
 use cassialock::core::retry::Cause;
 use cassialock::core::retry::RetryBudget;
-use cassialock::core::retry::crash::Fingerprint;
 use cassialock::core::retry::hedge;
 use cassialock::core::retry::hedge::Hedges;
 use cassialock::core::retry::hedge::Subject;
@@ -216,7 +216,7 @@
 #[test]
 fn a_request_is_suspected_until_it_is_answered_after_the_crash() {
     let mut quarantine = Quarantine::new();
-    let features = |id: u64| Features::new(Fingerprint(id), &RequestInfo::default());
+    let features = |id: u64| Features::from(vec![Feature::Request(Fingerprint(id))]);
     assert!(!quarantine.has_suspect(&features(1), START));
     quarantine.record_crash(&"i-1/1".into(), &features(1), START);
     let later = START + ms(2_000);
--- a/tests/decisions/quarantine.rs
+++ b/tests/decisions/quarantine.rs
@@ -2,12 +2,13 @@
 
 use std::time::Duration;
 
+use cassialock::core::fingerprint::Fingerprint;
+use cassialock::core::fingerprint::Identity;
 use cassialock::core::quarantine::Quarantine;
 use cassialock::core::quarantine::bulletin::Block;
 use cassialock::core::quarantine::bulletin::Scope;
 use cassialock::core::quarantine::features::Feature;
 use cassialock::core::quarantine::features::Features;
-use cassialock::core::retry::crash::Fingerprint;
 use cassialock::core::time::Time;
 
 /// A part that crashes servers, and parts that do not.
@@ -125,6 +126,57 @@
     assert!(is_blocked(&node, &request(91, &[DEADLY]), 4_100));
 }
 
+/// Returns the features of a lookup on one path.
+fn lookup(query: &str) -> Features {
+    let identity = Identity {
+        workspace: "w",
+        service: "s",
+        host: "h",
+        method: "GET",
+        path: "/read/job",
+        query: Some(query),
+        body: b"",
+    };
+    Features::new(&identity, &[])
+}
+
+/// Guards against a query that is cleared by answers to others, and against a block of
+/// the sound requests that ran beside it.
+#[test]
+fn a_query_is_blocked_and_the_others_on_its_path_are_not() {
+    let mut node = Quarantine::new();
+    succeed(&mut node, &lookup("id=1"), 0);
+    for n in 0..3 {
+        crash(&mut node, n, &lookup("id=66"), 100 + n * 300);
+        crash(&mut node, n, &lookup(&format!("id={n}")), 105 + n * 300);
+        succeed(&mut node, &lookup("id=7"), 200 + n * 300);
+    }
+    node.update(at(3_000));
+    assert!(is_blocked(&node, &lookup("id=66"), 3_000));
+    for query in ["id=0", "id=1", "id=2", "id=7", "id=67"] {
+        assert!(!is_blocked(&node, &lookup(query), 3_000), "{query}");
+    }
+}
+
+/// Guards against a caller whose sound request is sent again while another one crashes
+/// servers.
+#[test]
+fn a_sound_request_that_ran_beside_each_crash_is_not_blocked() {
+    let mut node = Quarantine::new();
+    succeed(&mut node, &lookup("id=1"), 0);
+    for n in 0..4 {
+        crash(&mut node, n, &lookup("id=66"), 100 + n * 300);
+        if n < 3 {
+            crash(&mut node, n, &lookup("id=9"), 105 + n * 300);
+        }
+        succeed(&mut node, &lookup("id=7"), 200 + n * 300);
+        node.update(at(250 + n * 300));
+    }
+    node.update(at(4_000));
+    assert!(is_blocked(&node, &lookup("id=66"), 4_000));
+    assert!(!is_blocked(&node, &lookup("id=9"), 4_000));
+}
+
 /// No node sees more than one of the crashes itself.
 #[test]
 fn nodes_that_see_one_crash_each_block_the_part_together() {
--- a/tests/decisions/retry.rs
+++ b/tests/decisions/retry.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use cassialock::core::Name;
+use cassialock::core::fingerprint::Fingerprint;
+use cassialock::core::fingerprint::Identity;
 use cassialock::core::retry::AttemptCounts;
 use cassialock::core::retry::Cause;
 use cassialock::core::retry::Decision;
@@ -12,7 +14,6 @@
 use cassialock::core::retry::backoff;
 use cassialock::core::retry::crash::Crash;
 use cassialock::core::retry::crash::CrashHistory;
-use cassialock::core::retry::crash::Fingerprint;
 use cassialock::core::time::Time;
 use cassialock::core::verdict::Verdict;
 
@@ -129,10 +130,77 @@
     }
 }
 
+const REQUEST: Identity<'_> = Identity {
+    workspace: "w",
+    service: "s",
+    host: "h",
+    method: "POST",
+    path: "/read/job",
+    query: Some("id=66"),
+    body: b"body",
+};
+
+/// Guards against an answer to one request that clears another, which crashes servers.
+#[test]
+fn requests_that_a_server_can_tell_apart_have_different_fingerprints() {
+    let others = [
+        REQUEST,
+        Identity {
+            workspace: "v",
+            ..REQUEST
+        },
+        Identity {
+            service: "t",
+            ..REQUEST
+        },
+        Identity {
+            host: "g",
+            ..REQUEST
+        },
+        Identity {
+            method: "PUT",
+            ..REQUEST
+        },
+        Identity {
+            path: "/read/jobs",
+            ..REQUEST
+        },
+        Identity {
+            query: Some("id=7"),
+            ..REQUEST
+        },
+        Identity {
+            query: Some("id=6%36"),
+            ..REQUEST
+        },
+        Identity {
+            query: Some(""),
+            ..REQUEST
+        },
+        Identity {
+            query: None,
+            ..REQUEST
+        },
+        Identity {
+            body: b"",
+            ..REQUEST
+        },
+        Identity {
+            body: b"bodyid=66",
+            query: None,
+            ..REQUEST
+        },
+    ];
+    let mut known: Vec<Fingerprint> = others.iter().map(Identity::fingerprint).collect();
+    known.sort_unstable();
+    known.dedup();
+    assert_eq!(known.len(), others.len());
+}
+
 #[test]
 fn a_request_is_blocked_after_it_crashed_two_servers() {
     let mut crashes = CrashHistory::new();
-    let bad = Fingerprint::new("w", "s", b"body");
+    let bad = REQUEST.fingerprint();
     assert!(crashes.record(crash(bad, "a", 1)));
     assert!(
         !crashes.record(crash(bad, "a", 2)),
@@ -141,8 +209,16 @@
     assert!(!crashes.is_blocked(bad));
     assert!(crashes.record(crash(bad, "b", 3)));
     assert!(crashes.is_blocked(bad));
-    assert!(!crashes.is_blocked(Fingerprint::new("w", "s", b"other")));
-    assert!(!crashes.is_blocked(Fingerprint::new("v", "s", b"body")));
+    let other = Identity {
+        body: b"other",
+        ..REQUEST
+    };
+    assert!(!crashes.is_blocked(other.fingerprint()));
+    let other = Identity {
+        workspace: "v",
+        ..REQUEST
+    };
+    assert!(!crashes.is_blocked(other.fingerprint()));
 }
 
 #[test]
--- a/tests/entry/crashing.rs
+++ b/tests/entry/crashing.rs
@@ -27,9 +27,12 @@
 /// Time from the fifth crash on within which the requests must be kept away.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 
-/// Crashes from which [`CONTACT_TIME`] runs.
+/// Crashes by requests that share something, from which [`CONTACT_TIME`] runs.
 const CRASHES: usize = 5;
 
+/// Crashes by one request that comes again, from which [`CONTACT_TIME`] runs.
+const REPEATED_CRASHES: usize = 3;
+
 /// Requests that may still reach servers after that.
 const MAX_ARRIVALS: usize = 3;
 
@@ -105,62 +108,100 @@
     }
 }
 
-/// Sends a request whose prompt has `parts`, and returns the status of the answer.
-async fn call(harness: &Harness, id: usize, parts: &str) -> u16 {
-    let body = format!("question {id}");
+/// A request that a caller sends.
+struct Sample {
+    method: &'static str,
+    path: String,
+    headers: String,
+    body: String,
+}
+
+impl Sample {
+    /// Returns a request whose prompt has `parts` and one of its own.
+    fn with_parts(id: usize, parts: &str) -> Self {
+        Self {
+            method: "POST",
+            path: "/draft/x".into(),
+            headers: format!("x-cassialock-prompt-prefix: {parts}:10,{id:x}:5\r\n"),
+            body: format!("question {id}"),
+        }
+    }
+
+    /// Returns a request without a body.
+    fn get(path: String) -> Self {
+        Self {
+            method: "GET",
+            path,
+            headers: String::new(),
+            body: String::new(),
+        }
+    }
+}
+
+/// Requests of which some crash the servers that run them.
+struct Mix {
+    /// Returns a request that crashes servers.
+    deadly: fn(usize) -> Sample,
+    /// Returns two requests that do not.
+    sound: fn(usize) -> [Sample; 2],
+    /// Crashes from which [`CONTACT_TIME`] runs.
+    crashes: usize,
+}
+
+/// Sends a request and returns the status of the answer.
+async fn call(harness: &Harness, id: usize, sample: &Sample) -> u16 {
+    let Sample {
+        method,
+        path,
+        headers,
+        body,
+    } = sample;
     harness
-        .call_with(
-            "POST",
-            "/draft/x",
-            &format!("q-{id}"),
-            &format!("x-cassialock-prompt-prefix: {parts}:10,{id:x}:5\r\n"),
-            &body,
-        )
+        .call_with(method, path, &format!("q-{id}"), headers, body)
         .await
 }
 
-/// Requests that crash servers must not go on reaching them because no two have the
-/// same body, and sound requests that share the other parts must be served.
-#[tokio::test]
-async fn a_prompt_part_that_crashes_servers_is_kept_away_from_them() {
+/// Checks that requests that crash servers are kept away from them, and that all others
+/// are served.
+async fn check(mix: Mix) {
     let arrivals = Arc::new(Arrivals::default());
     let mut servers = Vec::new();
     for _ in 0..60 {
         servers.push(start_server(Arc::clone(&arrivals)).await);
     }
     let harness = Harness::with_backends(&servers).await;
-    let mut fifth = None;
+    let mut contact = None;
     let mut late = 0;
     let (mut asked, mut served) = (0, 0);
     let mut statuses = Vec::new();
     let mut refused = Vec::new();
     let began = Instant::now();
     for id in (0..).step_by(3) {
-        call(&harness, id, &format!("a1:100,b1:20,{DEADLY}")).await;
-        for (offset, parts) in [(1, "a1:100,b1"), (2, "a1:100,b2")] {
-            let is_late = fifth.is_some_and(|at: Instant| at.elapsed() > CONTACT_TIME);
-            let status = call(&harness, id + offset, parts).await;
+        call(&harness, id, &(mix.deadly)(id)).await;
+        for (sample, id) in (mix.sound)(id).iter().zip(id + 1..) {
+            let is_late = contact.is_some_and(|at: Instant| at.elapsed() > CONTACT_TIME);
+            let status = call(&harness, id, sample).await;
             statuses.push(status);
             if is_late && status != 200 {
-                refused.push((format!("q-{}", id + offset), status));
+                refused.push((format!("q-{id}"), status));
             }
             asked += usize::from(is_late);
             served += usize::from(is_late && status == 200);
         }
         let count = arrivals.deadly.load(Ordering::Relaxed);
-        match fifth {
-            None if count >= CRASHES => fifth = Some(Instant::now()),
+        match contact {
+            None if count >= mix.crashes => contact = Some(Instant::now()),
             Some(at) if at.elapsed() < CONTACT_TIME => late = count,
             Some(at) if at.elapsed() > CONTACT_TIME * 2 => break,
             _ => {}
         }
-        if fifth.is_none() && began.elapsed() > CONTACT_TIME * 3 {
+        if contact.is_none() && began.elapsed() > CONTACT_TIME * 3 {
             break;
         }
         tokio::time::sleep(PAUSE).await;
     }
     let count = arrivals.deadly.load(Ordering::Relaxed);
-    if fifth.is_some() {
+    if contact.is_some() {
         assert!(
             count - late <= MAX_ARRIVALS,
             "{count} arrived, {late} in time"
@@ -177,6 +218,55 @@
     assert!(arrivals.sound.load(Ordering::Relaxed) > 40);
 }
 
+/// Requests that crash servers must not go on reaching them because no two have the
+/// same body, and sound requests that share the other parts must be served.
+#[tokio::test]
+async fn a_prompt_part_that_crashes_servers_is_kept_away_from_them() {
+    check(Mix {
+        deadly: |id| Sample::with_parts(id, &format!("a1:100,b1:20,{DEADLY}")),
+        sound: |id| {
+            [
+                Sample::with_parts(id + 1, "a1:100,b1"),
+                Sample::with_parts(id + 2, "a1:100,b2"),
+            ]
+        },
+        crashes: CRASHES,
+    })
+    .await;
+}
+
+/// Sound answers to other queries must not clear a query that crashes servers.
+#[tokio::test]
+async fn a_query_that_crashes_servers_is_told_from_others_on_its_path() {
+    check(Mix {
+        deadly: |_| Sample::get(format!("/read/job?id={DEADLY}")),
+        sound: |id| {
+            [
+                Sample::get(format!("/read/job?id={id}")),
+                Sample::get("/read/job".into()),
+            ]
+        },
+        crashes: REPEATED_CRASHES,
+    })
+    .await;
+}
+
+/// A path that crashes servers must be blocked although its queries never repeat.
+#[tokio::test]
+async fn a_path_that_crashes_servers_is_blocked_whatever_its_queries() {
+    check(Mix {
+        deadly: |id| Sample::get(format!("/read/{DEADLY}?page={id}")),
+        sound: |id| {
+            [
+                Sample::get(format!("/read/job?id={id}")),
+                Sample::get("/read/other".into()),
+            ]
+        },
+        crashes: CRASHES,
+    })
+    .await;
+}
+
 /// Returns the features of a request with a certain part.
 fn features(id: u64) -> Features {
     Features::from(vec![Feature::Part(id)])
--- a/tests/entry/hedged.rs
+++ b/tests/entry/hedged.rs
@@ -8,9 +8,8 @@
 use std::time::Instant;
 
 use cassialock::core::catalog::Workspace;
+use cassialock::core::fingerprint::Identity;
 use cassialock::core::quarantine::features::Features;
-use cassialock::core::request::RequestInfo;
-use cassialock::core::retry::crash::Fingerprint;
 use cassialock::core::retry::hedge::Subject;
 use cassialock::entry::quarantine;
 use cassialock::web;
@@ -300,8 +299,16 @@
         let second = Server::start(Behaviour::Late(Duration::ZERO)).await;
         let harness = harness(&first, &second).await;
         if is_suspected {
-            let fingerprint = Fingerprint::new("familias", "/read/x", b"");
-            let features = Features::new(fingerprint, &RequestInfo::default());
+            let identity = Identity {
+                workspace: "familias",
+                service: "dosel-llm",
+                host: "shop",
+                method: "POST",
+                path: "/read/x",
+                query: None,
+                body: b"",
+            };
+            let features = Features::new(&identity, &[]);
             quarantine::record_crash(&harness.entry, "q-0", &"i-9/1".into(), &features);
         } else {
             // The debt of a new entry is repaid at one unit a second.
