Keep routes closed when the last workspace is removed

Cause: authorize took a catalog without workspaces for a deployment that uses no keys. The class: an empty list that means "all". Evidence: all entries had the version in force; with the workspace left in place without its key, none of the requests ran. Change: Catalog::key_policy depends on whether workspaces were ever declared. Entries remember it, the lease holder keeps it in the store, an entry whose first catalog has none reads it once, and entries tell each other while the newest catalog has none. Until it is known, requests are refused with 503. Deployments whose rules have no workspaces, or that never declared one, serve as before. Workspaces are decoded one by one: one that cannot be read costs only its own callers, instead of keeping the version and its removals of keys from all. Tests: entry::workspaces; with the old condition in authorize, three of its eight failed with six times 200 where 401 is asked for: the last workspace is removed, an entry starts later, an entry is told by others. The ones for public routes and for deployments without workspaces passed before.

--- a/src/core/catalog.rs
+++ b/src/core/catalog.rs
@@ -24,6 +24,7 @@
     pub limits: Limits,
     routes: Vec<Route>,
     workspaces: Vec<Workspace>,
+    has_unreadable_workspaces: bool,
     keys: Vec<(Name, usize)>,
 }
 
@@ -170,6 +171,29 @@
     pub unit: BillingUnit,
 }
 
+/// What is known of the workspaces that a deployment declared in any version so far.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum WorkspaceHistory {
+    /// Nothing is known.
+    #[default]
+    Unknown,
+    /// No workspace was ever declared.
+    Never,
+    /// Workspaces are, or were, declared.
+    Declared,
+}
+
+/// Whether requests on routes that are not public need an API key.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum KeyPolicy {
+    /// Any request is accepted.
+    Open,
+    /// Only requests with a key of a workspace are accepted.
+    Required,
+    /// It is not known yet.
+    Unknown,
+}
+
 /// Unit in which requests are counted against a quota.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum BillingUnit {
@@ -220,6 +244,13 @@
         self
     }
 
+    /// Marks the catalog as one that declares more workspaces than could be read.
+    #[must_use]
+    pub fn with_unreadable_workspaces(mut self) -> Self {
+        self.has_unreadable_workspaces = true;
+        self
+    }
+
     /// Sets the services.
     #[must_use]
     pub fn with_services(mut self, services: NameMap<Service>) -> Self {
@@ -239,9 +270,27 @@
         &self.workspaces
     }
 
-    /// Returns whether any workspace is declared, so that requests need an API key.
+    /// Returns whether any workspace is declared.
     pub fn has_workspaces(&self) -> bool {
-        !self.workspaces.is_empty()
+        !self.workspaces.is_empty() || self.has_unreadable_workspaces
+    }
+
+    /// Returns whether an unknown key may belong to a workspace that could not be read.
+    pub fn has_unreadable_workspaces(&self) -> bool {
+        self.has_unreadable_workspaces
+    }
+
+    /// Returns whether requests need an API key.
+    ///
+    /// The last workspace takes its keys with it, so that a list that has become empty
+    /// admits nobody, while a deployment that never had one admits everybody.
+    pub fn key_policy(&self, history: WorkspaceHistory) -> KeyPolicy {
+        match history {
+            _ if self.has_workspaces() => KeyPolicy::Required,
+            WorkspaceHistory::Declared => KeyPolicy::Required,
+            WorkspaceHistory::Never => KeyPolicy::Open,
+            WorkspaceHistory::Unknown => KeyPolicy::Unknown,
+        }
     }
 
     /// Returns the workspace that the API key `key` belongs to.
--- a/src/entry/adapter.rs
+++ b/src/entry/adapter.rs
@@ -127,6 +127,8 @@
     Quarantine,
     /// Failure domains, by name, whose backend servers are to get no requests.
     Evacuations,
+    /// Whether workspaces were ever declared.
+    Workspaces,
 }
 
 /// Describes a backend server, as registered in the store.
--- a/src/entry/call/prepare.rs
+++ b/src/entry/call/prepare.rs
@@ -7,6 +7,7 @@
 use hyper::body::Incoming;
 
 use crate::core::catalog::Catalog;
+use crate::core::catalog::KeyPolicy;
 use crate::core::catalog::Route;
 use crate::core::catalog::Workspace;
 use crate::core::fingerprint::Identity;
@@ -196,9 +197,15 @@
         .api_key
         .as_deref()
         .and_then(|key| catalog.workspace_by_key(key));
-    if route.is_public || !catalog.has_workspaces() {
+    let policy = catalog.key_policy(entry.catalog.history());
+    if route.is_public || policy == KeyPolicy::Open {
         return Ok((route, workspace));
     }
+    if policy == KeyPolicy::Unknown {
+        let detail = "whether requests need a key has not been read from the store yet";
+        let refusal = Refusal::new(Reason::NotReady, detail);
+        return Err(refusal.with_retry_after(retry_delay(entry)));
+    }
     if bounds.fail_closed && entry.catalog.is_expired(bounds.revoke_delay, now) {
         let detail = "the catalog is too old to confirm that the key is still valid";
         let refusal = Refusal::new(Reason::StoreUnavailable, detail);
@@ -207,6 +214,11 @@
     if workspace.is_none() && is_stale {
         return Err(unconfirmed("the key"));
     }
+    if workspace.is_none() && request.api_key.is_some() && catalog.has_unreadable_workspaces() {
+        let detail = "the key may belong to a workspace whose declaration cannot be read";
+        let refusal = Refusal::new(Reason::StoreUnavailable, detail);
+        return Err(refusal.with_retry_after(retry_delay(entry)));
+    }
     match workspace {
         Some(workspace) => Ok((route, Some(workspace))),
         None => Err(Refusal::new(
--- a/src/entry/feeds/catalog.rs
+++ b/src/entry/feeds/catalog.rs
@@ -11,10 +11,12 @@
 use crate::entry::adapter::Content;
 use crate::entry::adapter::Object;
 use crate::entry::adapter::ObjectKind;
+use crate::entry::adapter::StoreError;
 use crate::entry::backends::cold;
 use crate::entry::feeds;
 use crate::entry::feeds::Feed;
 use crate::entry::feeds::Resume;
+use crate::entry::workspaces;
 use crate::telemetry::events::Event;
 
 /// Watch timeout for the catalog, as a fraction of the time to revoke a key.
@@ -29,6 +31,8 @@
         match object.content {
             Content::Catalog(catalog) => {
                 let (before, version) = (entry.catalog.version(), catalog.version);
+                let workspaces = catalog.workspaces().len();
+                let has_unreadable = catalog.has_unreadable_workspaces();
                 if version > before {
                     // No request may be sent to a cold server as to a warm one.
                     cold::set_starts(entry, &catalog);
@@ -41,6 +45,8 @@
                         Event::new("catalog_installed")
                             .with("version", version)
                             .with("version_before", before)
+                            .with("workspaces", workspaces)
+                            .with("unreadable_workspaces", has_unreadable)
                             .with("revision", object.revision),
                     );
                 }
@@ -99,6 +105,10 @@
         }
     }
 
+    fn write_back<'a>(&'a mut self, entry: &'a Entry) -> BoxFuture<'a, Result<(), StoreError>> {
+        Box::pin(workspaces::sync(entry))
+    }
+
     fn confirm(&mut self, entry: &Entry, time: Time) {
         entry.catalog.confirm(time);
     }
--- a/src/entry/leader/mod.rs
+++ b/src/entry/leader/mod.rs
@@ -26,6 +26,7 @@
 use crate::entry::adapter::StoreError;
 use crate::entry::leader::usage_report::UsageClaim;
 use crate::entry::membership;
+use crate::entry::workspaces;
 use crate::telemetry::events::Event;
 
 mod records;
@@ -192,6 +193,9 @@
                     );
                 }
                 entry.membership.set_lease(Some(lease));
+                if let Err(e) = workspaces::store(entry).await {
+                    record_store_failure(entry, "workspaces_write", &e);
+                }
             }
             Err(e) => {
                 self.pending = Some((lease.clone(), sent));
--- a/src/entry/membership/datagrams.rs
+++ b/src/entry/membership/datagrams.rs
@@ -10,6 +10,7 @@
 
 use crate::core::Name;
 use crate::core::aggregate::summary::DomainSummary;
+use crate::core::catalog::WorkspaceHistory;
 use crate::core::name_map::NameMap;
 use crate::core::peer::Heartbeat;
 use crate::core::peer::NodeStatus;
@@ -34,6 +35,7 @@
 use crate::entry::relay;
 use crate::entry::speeds;
 use crate::entry::speeds::Routes;
+use crate::entry::workspaces;
 use crate::error::Error;
 use crate::frame;
 use crate::telemetry::events::Event;
@@ -63,6 +65,8 @@
     Cold(ColdNews),
     /// What the sender knows of the speeds and the load of backend servers.
     Speeds(Box<Message>),
+    /// The sender has seen workspaces, which the newest catalog no longer declares.
+    WorkspacesDeclared,
 }
 
 /// Binds the UDP socket for messages between entries.
@@ -189,6 +193,9 @@
     if !bulletin.is_empty() {
         send(entry, socket, to, &Datagram::Bulletin(Box::new(bulletin))).await;
     }
+    if entry.catalog.has_lost_workspaces() {
+        send(entry, socket, to, &Datagram::WorkspacesDeclared).await;
+    }
     let now = entry.clock.now();
     let (departures, evacuations, limit_ends) = entry.backends.with_servers(|servers| {
         let evacuations = servers.evacuated().news(now).cloned();
@@ -323,6 +330,9 @@
         Ok(Datagram::UsageClaimed(window)) => {
             entry.usage.record_claimed(window, entry.cluster_time());
         }
+        Ok(Datagram::WorkspacesDeclared) => {
+            workspaces::record(entry, WorkspaceHistory::Declared, "peer");
+        }
         Ok(Datagram::Cold(news)) => cold::record_news(entry, &news),
         Ok(Datagram::Speeds(message)) => speeds::merge(entry, from, &message),
         Ok(Datagram::LimitEnds(ends)) => notices::record_limit_ends(entry, from, &ends),
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -25,6 +25,7 @@
 
 use crate::clock::Clock;
 use crate::core::Name;
+use crate::core::catalog::WorkspaceHistory;
 use crate::core::store_contact::StoreContact;
 use crate::core::time::Time;
 use crate::entry::adapter::Adapter;
@@ -71,6 +72,7 @@
 pub mod settings;
 pub mod speeds;
 pub mod usage;
+pub mod workspaces;
 
 /// Interval of periodic maintenance.
 const TICK_INTERVAL: Duration = Duration::from_millis(500);
@@ -144,6 +146,11 @@
     pub fn new(settings: Settings, adapter: Adapter, events: EventLog, clock: Clock) -> Self {
         let now = clock.now();
         let seed = crate::core::hash(&[&settings.node, &now.0.to_string()]);
+        let history = if settings.bounds.has_workspaces {
+            WorkspaceHistory::Unknown
+        } else {
+            WorkspaceHistory::Never
+        };
         Self {
             backends: Backends::new(&settings),
             limits: Limits::new(now),
@@ -158,7 +165,7 @@
             clock,
             adapter,
             events,
-            catalog: CurrentCatalog::new(),
+            catalog: CurrentCatalog::new().with_history(history),
             crashes: CrashGuard::new(),
             pool: Pool::new(),
             open_requests: InFlight::new(),
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -69,6 +69,8 @@
     pub config_delay: Duration,
     /// Time after which a revoked key must no longer be accepted.
     pub revoke_delay: Duration,
+    /// Whether the deployment may declare workspaces.
+    pub has_workspaces: bool,
     /// Whether keys are refused when their validity cannot be confirmed.
     pub fail_closed: bool,
     /// Retries allowed per request of a service, over all nodes.
@@ -97,6 +99,7 @@
             grace_period: Duration::from_secs(8),
             config_delay: Duration::from_secs(2),
             revoke_delay: Duration::from_secs(5),
+            has_workspaces: true,
             fail_closed: true,
             retry_ratio: 0.2,
             retry_slack: 50.0,
--- a/src/platform/decode.rs
+++ b/src/platform/decode.rs
@@ -54,8 +54,7 @@
     services: Vec<WireService>,
     #[serde(default)]
     limits: WireLimits,
-    #[serde(default)]
-    tenants: Vec<WireTenant>,
+    tenants: Option<Value>,
 }
 
 #[derive(Deserialize)]
@@ -158,12 +157,33 @@
         routes.push(route(value).map_err(|e| format!("routes[{index}].{e}"))?);
     }
     let services = wire.services.into_iter().map(service).collect();
-    let workspaces = wire.tenants.into_iter().map(workspace).collect();
-    Ok(Catalog::new(wire.version)
+    let catalog = Catalog::new(wire.version)
         .with_routes(routes)
         .with_services(services)
-        .with_workspaces(workspaces)
-        .with_limits(limits(&wire.limits)))
+        .with_limits(limits(&wire.limits));
+    Ok(match wire.tenants {
+        Some(tenants) => with_workspaces(catalog, &tenants),
+        None => catalog,
+    })
+}
+
+/// Adds the workspaces that can be read.
+///
+/// One that cannot be read costs only its own callers, whose keys are not accepted; the
+/// version is still in force for all others, and so is the removal of keys by it.
+fn with_workspaces(catalog: Catalog, tenants: &Value) -> Catalog {
+    let Some(tenants) = tenants.as_array() else {
+        return catalog.with_unreadable_workspaces();
+    };
+    let readable = tenants.iter().filter_map(|value| from_value(value).ok());
+    let workspaces: Vec<Workspace> = readable.map(workspace).collect();
+    let is_complete = workspaces.len() == tenants.len();
+    let catalog = catalog.with_workspaces(workspaces);
+    if is_complete {
+        catalog
+    } else {
+        catalog.with_unreadable_workspaces()
+    }
 }
 
 fn route(value: &Value) -> Result<Route, String> {
--- a/src/platform/object_store.rs
+++ b/src/platform/object_store.rs
@@ -59,6 +59,7 @@
         ObjectKind::Usage => "cassialock-usage",
         ObjectKind::Quarantine => "cassialock-quarantine",
         ObjectKind::Evacuations => "evacuations",
+        ObjectKind::Workspaces => "cassialock-workspaces",
     }
 }
 
@@ -127,7 +128,8 @@
         | ObjectKind::Leases
         | ObjectKind::Usage
         | ObjectKind::Quarantine
-        | ObjectKind::Evacuations => Content::Record(spec),
+        | ObjectKind::Evacuations
+        | ObjectKind::Workspaces => Content::Record(spec),
     }
 }
 
--- a/src/platform/settings_file.rs
+++ b/src/platform/settings_file.rs
@@ -21,6 +21,9 @@
 /// Port of the metrics endpoint, as given in the deploy file.
 pub const METRICS_PORT: u16 = 9_464;
 
+/// Part of the rules that is in force if the deployment may declare workspaces.
+const WORKSPACE_CONTRACT: &str = "tenants";
+
 #[derive(Deserialize)]
 struct WireSettings {
     node: String,
@@ -31,6 +34,8 @@
     /// Whether the whole deployment starts for the first time.
     #[serde(default)]
     bootstrap: bool,
+    /// Parts of the rules that are in force.
+    contracts: Option<Vec<String>>,
     #[serde(default)]
     zones: NameMap<String>,
     #[serde(default)]
@@ -158,10 +163,18 @@
         millicores: (wire.limits.cpu_share * wire.limits.cpu_cores.unwrap_or(1.0) * 1_000.0) as u32,
         // The file has no such field; the flags of the daemon set it.
         features: Features::default(),
-        bounds: bounds(&wire.bounds)?,
+        bounds: Bounds {
+            has_workspaces: wire.contracts.is_none_or(has_workspaces),
+            ..bounds(&wire.bounds)?
+        },
     })
 }
 
+/// Returns whether the rules on workspaces and their keys are in force.
+fn has_workspaces(contracts: Vec<String>) -> bool {
+    contracts.iter().any(|name| name == WORKSPACE_CONTRACT)
+}
+
 /// Converts a length of time; `unit` is that of `value` in seconds.
 fn duration(
     field: &str,
@@ -197,6 +210,7 @@
         )?,
         config_delay: duration("bounds.config_ms", wire.config_ms, ms, default.config_delay)?,
         revoke_delay: duration("bounds.revoke_ms", wire.revoke_ms, ms, default.revoke_delay)?,
+        has_workspaces: default.has_workspaces,
         fail_closed: wire.fail_closed.unwrap_or(default.fail_closed),
         retry_ratio: wire.retry_budget_ratio.unwrap_or(default.retry_ratio),
         retry_slack: wire.budget_slack.unwrap_or(default.retry_slack),
--- a/tests/contract/adapter.rs
+++ b/tests/contract/adapter.rs
@@ -109,6 +109,42 @@
     insta::assert_debug_snapshot!(decode::catalog(spec));
 }
 
+/// Guards against keys that stay in force because another workspace of the version that
+/// takes them away cannot be read.
+#[test]
+fn a_workspace_that_cannot_be_read_does_not_hide_the_others() {
+    let decoded = |tenants: serde_json::Value| {
+        let spec = json!({"version": 2, "routes": [], "tenants": tenants});
+        match decode::catalog(spec) {
+            Content::Catalog(catalog) => *catalog,
+            other => panic!("{other:?}"),
+        }
+    };
+    let beside =
+        decoded(json!([{"name": "t", "api_keys": ["k"]}, {"name": "u", "api_keys": "k2"}]));
+    assert!(beside.workspace_by_key("k").is_some());
+    assert!(beside.has_unreadable_workspaces());
+    for tenants in [json!("all"), json!([7]), json!([{"api_keys": []}])] {
+        let catalog = decoded(tenants);
+        assert!(catalog.has_workspaces() && catalog.has_unreadable_workspaces());
+    }
+    for tenants in [json!([]), json!(null)] {
+        assert!(!decoded(tenants).has_workspaces());
+    }
+}
+
+#[test]
+fn workspaces_are_expected_unless_the_rules_on_them_are_not_in_force() {
+    for (contracts, expected) in [
+        ("", true),
+        ("contracts = [\"base\", \"tenants\"]\n", true),
+        ("contracts = [\"base\"]\n", false),
+    ] {
+        let settings = settings_file::parse(&format!("{contracts}{SETTINGS}")).unwrap();
+        assert_eq!(settings.bounds.has_workspaces, expected, "{contracts}");
+    }
+}
+
 #[test]
 fn unreadable_objects_name_the_invalid_field() {
     let reason = |content| match content {
--- a/tests/entry/fakes.rs
+++ b/tests/entry/fakes.rs
@@ -4,6 +4,7 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -67,7 +68,9 @@
     pub written: Mutex<Vec<Object>>,
     /// Era that the store names.
     pub era: AtomicU64,
-    /// Records of the lease holder, which are kept.
+    /// Whether single objects cannot be read.
+    pub is_unreadable: AtomicBool,
+    /// Records of the lease holder and of workspaces, which are kept.
     pub records: Mutex<Records>,
 }
 
@@ -169,6 +172,9 @@
         kind: ObjectKind,
         name: &str,
     ) -> BoxFuture<'_, Result<Option<Object>, StoreError>> {
+        if self.0.is_unreadable.load(Ordering::Relaxed) {
+            return Box::pin(async { Err(StoreError::Refused("unavailable".into())) });
+        }
         let object = self.0.read(kind, name);
         Box::pin(async { Ok(object) })
     }
@@ -180,7 +186,12 @@
         revision: Option<u64>,
         value: &Value,
     ) -> BoxFuture<'_, Result<u64, StoreError>> {
-        if matches!(kind, ObjectKind::Leases | ObjectKind::Usage) {
+        let is_kept = [
+            ObjectKind::Leases,
+            ObjectKind::Usage,
+            ObjectKind::Workspaces,
+        ];
+        if is_kept.contains(&kind) {
             let written = self.0.replace(kind, name, revision, value);
             return Box::pin(async { written });
         }
--- a/tests/entry/harness.rs
+++ b/tests/entry/harness.rs
@@ -125,7 +125,8 @@
     }
 }
 
-async fn backend(runs: Arc<AtomicUsize>, cancelled: Arc<AtomicUsize>) -> SocketAddr {
+/// Starts a backend server that counts the requests that it runs.
+pub async fn backend(runs: Arc<AtomicUsize>, cancelled: Arc<AtomicUsize>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     tokio::spawn(async move {
@@ -286,13 +287,33 @@
         Self::with_settings(objects, |_| {}).await
     }
 
-    async fn with_settings(mut objects: Vec<Object>, change: impl Fn(&mut Settings)) -> Self {
+    /// Starts an entry with a catalog, a backend server at `address` and what `script` has
+    /// in the store.
+    pub async fn with_catalog(
+        address: SocketAddr,
+        catalog: Catalog,
+        script: Arc<Script>,
+        change: impl Fn(&mut Settings),
+    ) -> Self {
+        let objects = backend_objects(&[(address, "v1")]);
+        Self::with_store(objects, catalog, script, change).await
+    }
+
+    async fn with_settings(objects: Vec<Object>, change: impl Fn(&mut Settings)) -> Self {
+        Self::with_store(objects, catalog(), Arc::new(Script::default()), change).await
+    }
+
+    async fn with_store(
+        mut objects: Vec<Object>,
+        catalog: Catalog,
+        script: Arc<Script>,
+        change: impl Fn(&mut Settings),
+    ) -> Self {
         objects.push(Object {
             name: "main".into(),
             revision: 1,
-            content: Content::Catalog(Box::new(catalog())),
+            content: Content::Catalog(Box::new(catalog)),
         });
-        let script = Arc::new(Script::default());
         *script.listing.lock().unwrap() = Listing {
             revision: 1,
             objects,
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -36,3 +36,4 @@
 mod unframed;
 mod unhedged;
 mod versions;
+mod workspaces;
