Judge a new version by what it rejects and the old one serves

Cause: only server errors counted against a version. A rejection was a good answer, and a fast one that improved the record. The class: a measure of whether the server works, used for whether the caller got what it asked for. Evidence: move_judged showed 0 failed and 0 slow of 128 responses on the route that rejected all of them, suspicion 0.0. Change: core::answer::Class says once what a status means. The detector compares the rejections of both versions by route, by status and all together, within seconds, by the likelihood ratio of two rates to a common one. Rejections are no longer judged by their time, and no longer set the slow limit. The counts travel as rows of the evidence that nodes of earlier versions pass over. Tests: a_version_that_rejects_what_the_old_one_serves_is_vetoed failed when rejections were set back to successes (302 first); versions that both reject are kept, before and after. Tests that made samples by hand use the new type.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -7,6 +7,7 @@
 //! on one thread.
 
 pub mod aggregate;
+pub mod answer;
 pub mod catalog;
 pub mod completion;
 pub mod config;
--- a/src/core/moves/canary.rs
+++ b/src/core/moves/canary.rs
@@ -222,6 +222,7 @@
     ///
     /// `bears_load` says whether the new version has servers for all traffic.
     pub fn advance(&mut self, bears_load: bool, now: Time) -> Option<Stage> {
+        self.detector.record_time(now);
         if !matches!(self.stage(now), Stage::Trial | Stage::Ramp(_)) {
             return None;
         }
--- a/src/core/moves/detector.rs
+++ b/src/core/moves/detector.rs
@@ -7,28 +7,56 @@
 use serde::Serialize;
 
 use crate::core::Name;
+use crate::core::answer::Class;
 use crate::core::moves::latencies::Latencies;
+use crate::core::moves::rejections;
+use crate::core::moves::rejections::Counts;
+use crate::core::moves::rejections::Pair;
 use crate::core::moves::route_stats::Cusum;
 use crate::core::moves::route_stats::RouteStats;
 use crate::core::moves::route_stats::VETO_THRESHOLD;
 use crate::core::moves::route_stats::Waiting;
 use crate::core::name_map::NameMap;
+use crate::core::time::Time;
 
 /// Log-likelihood ratio above which a version is suspected: odds of 7 to 1.
 const SUSPICION_THRESHOLD: f64 = 2.0;
 
+/// Time in which the rejections of both versions are compared.
+const INTERVAL: Duration = Duration::from_secs(1);
+
 /// Share of the old version's responses from which a route has to be judged.
 const MIN_ROUTE_SHARE: f64 = 0.1;
 
-/// The outcome of one request.
+/// What became of one request at a server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Outcome {
+    /// It succeeded; the time runs to the first token or to the complete response.
+    Succeeded(Duration),
+    /// It was rejected with this status, for whatever reason.
+    Rejected(u16),
+    /// The server failed.
+    Failed,
+}
+
+impl Outcome {
+    /// Returns the outcome of a complete response with `status`.
+    pub const fn of(status: u16, latency: Duration) -> Self {
+        match Class::of(status) {
+            Class::Success => Outcome::Succeeded(latency),
+            Class::Rejection => Outcome::Rejected(status),
+            Class::Failure => Outcome::Failed,
+        }
+    }
+}
+
+/// The outcome of one request by version.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Sample {
     /// Whether the new version served the request.
     pub is_new: bool,
-    /// Whether the version failed the request.
-    pub failed: bool,
-    /// Time to the first token or to the complete response.
-    pub latency: Duration,
+    /// What became of the request.
+    pub outcome: Outcome,
 }
 
 /// Counters of one route that nodes exchange.
@@ -68,6 +96,8 @@
     pub route: Name,
     /// Responses of the new version that were judged.
     pub counts: RouteCounts,
+    /// Rejections by both versions.
+    pub rejected: Pair,
     /// Latency above which a response is slow, if it is known.
     pub slow_limit: Option<Duration>,
     /// Log-likelihood ratio of a faulty version to a good one.
@@ -92,6 +122,10 @@
         } = self.counts;
         write!(f, "{}: {failed} failed, {slow} slow", self.route)?;
         write!(f, " of {responses}, suspicion {:.1}", self.suspicion)?;
+        let Pair { new, old } = self.rejected;
+        if new + old > 0 {
+            write!(f, ", rejected {new} (old {old})")?;
+        }
         if let Some(limit) = self.slow_limit {
             write!(f, ", limit {} ms", limit.as_millis())?;
         }
@@ -112,6 +146,8 @@
     /// somewhat slow on each of them.
     slowness: Cusum,
     own: Evidence,
+    own_answers: NameMap<Counts>,
+    interval_began: Option<Time>,
     peers: NameMap<PeerEvidence>,
 }
 
@@ -151,30 +187,62 @@
         }
     }
 
+    /// Notes the time, so that the rejections of different times are compared apart.
+    pub fn record_time(&mut self, now: Time) {
+        let began = *self.interval_began.get_or_insert(now);
+        if now.since(began) < INTERVAL {
+            return;
+        }
+        self.interval_began = Some(now);
+        for (_, stats) in self.routes.iter_mut() {
+            stats.rejections.begin_interval();
+        }
+    }
+
     /// Records the outcome of a request on `route`.
     ///
     /// A response of the new version counts as soon as there is a slow limit.
     pub fn record(&mut self, route: &Name, sample: &Sample) {
+        let Sample { is_new, outcome } = *sample;
+        match outcome {
+            Outcome::Succeeded(_) => self.add_answer(route, is_new, None),
+            Outcome::Rejected(status) => self.add_answer(route, is_new, Some(status)),
+            Outcome::Failed => {}
+        }
         let stats = self.routes.get_or_insert_with(route, RouteStats::default);
-        let counts = if !sample.is_new {
-            stats.record_old(sample);
-            stats.judge_waiting()
-        } else if sample.failed {
-            RouteCounts {
+        let counts = match outcome {
+            _ if !is_new => {
+                stats.record_old(outcome);
+                stats.judge_waiting()
+            }
+            Outcome::Failed => RouteCounts {
                 responses: 1,
                 failed: 1,
                 slow: 0,
+            },
+            // A rejection says nothing about the speed of the version.
+            Outcome::Rejected(_) => RouteCounts::default(),
+            Outcome::Succeeded(latency) => {
+                let response = Waiting {
+                    latency,
+                    is_answered: true,
+                };
+                stats.judge_or_keep(response).unwrap_or_default()
             }
-        } else {
-            let response = Waiting {
-                latency: sample.latency,
-                is_answered: true,
-            };
-            stats.judge_or_keep(response).unwrap_or_default()
         };
         self.add_own(route, &counts);
     }
 
+    /// Counts an answer that is no failure, at this node and in all.
+    fn add_answer(&mut self, route: &Name, is_new: bool, status: Option<u16>) {
+        let answer = Pair::one(is_new);
+        self.own_answers
+            .get_or_insert_with(route, Counts::default)
+            .add(answer, status);
+        let stats = self.routes.get_or_insert_with(route, RouteStats::default);
+        stats.rejections.add(answer, status);
+    }
+
     /// Records a request on `route` that was given up before its response began.
     ///
     /// It counts as slow if it had waited for long enough, and not at all otherwise.
@@ -182,12 +250,9 @@
         let stats = self.routes.get_or_insert_with(route, RouteStats::default);
         if !is_new {
             if stats.slow_limit().is_some_and(|limit| waited > limit) {
-                let sample = Sample {
-                    is_new,
-                    failed: false,
-                    latency: waited,
-                };
-                self.record(route, &sample);
+                stats.record_old(Outcome::Succeeded(waited));
+                let counts = stats.judge_waiting();
+                self.add_own(route, &counts);
             }
             return;
         }
@@ -233,6 +298,19 @@
         let known = &mut known.evidence;
         for (route, counts) in evidence.iter() {
             let last = known.get_or_insert_with(route, RouteCounts::default);
+            if counts.responses == 0
+                && let Some((route, status)) = rejections::parse_row(route)
+            {
+                let added = RouteCounts {
+                    responses: 0,
+                    failed: counts.failed.saturating_sub(last.failed),
+                    slow: counts.slow.saturating_sub(last.slow),
+                };
+                last.add(&added);
+                let stats = self.routes.get_or_insert_with(&route, RouteStats::default);
+                stats.rejections.add_row(status, &added);
+                continue;
+            }
             if counts.responses <= last.responses {
                 continue;
             }
@@ -250,15 +328,26 @@
     }
 
     /// Returns this node's own counters.
-    pub fn evidence(&self) -> &Evidence {
-        &self.own
+    ///
+    /// The answers of both versions are included on routes where any of them is a rejection.
+    pub fn evidence(&self) -> Evidence {
+        let mut evidence = self.own.clone();
+        for (route, own) in self.own_answers.iter() {
+            let known = self.routes.get(route);
+            if known.is_some_and(|stats| stats.rejections.has_any()) {
+                for (name, counts) in own.rows(route) {
+                    evidence.insert(name, counts);
+                }
+            }
+        }
+        evidence
     }
 
     /// Returns the number of tested responses of the new version.
     pub fn responses(&self) -> u64 {
         self.routes
             .iter()
-            .map(|(_, stats)| stats.total.responses)
+            .map(|(_, stats)| stats.judged_responses())
             .sum()
     }
 
@@ -268,7 +357,8 @@
             route: route.clone(),
             counts: stats.total,
             slow_limit: stats.slow_limit(),
-            suspicion: stats.failures.sum.max(stats.slowness.sum),
+            rejected: stats.rejections.rejected(),
+            suspicion: stats.suspicion(),
             old_responses: stats.old_responses as u64,
         })
     }
@@ -287,7 +377,7 @@
         let is_unjudged = |row: &Assessment| {
             row.old_responses > 0
                 && row.old_responses as f64 >= min_old
-                && row.counts.responses < count
+                && row.counts.responses + row.rejected.new < count
         };
         self.assessments().find(is_unjudged).map(|row| row.route)
     }
--- a/src/core/moves/mod.rs
+++ b/src/core/moves/mod.rs
@@ -17,6 +17,7 @@
 pub mod canary;
 pub mod detector;
 pub mod latencies;
+pub mod rejections;
 mod route_stats;
 
 /// The rollout schedule.
--- a/src/core/moves/route_stats.rs
+++ b/src/core/moves/route_stats.rs
@@ -2,9 +2,11 @@
 
 use std::time::Duration;
 
+use crate::core::moves::detector::Outcome;
 use crate::core::moves::detector::RouteCounts;
-use crate::core::moves::detector::Sample;
 use crate::core::moves::latencies::Latencies;
+use crate::core::moves::rejections::Difference;
+use crate::core::moves::rejections::Rejections;
 use crate::core::name_map::NameMap;
 
 /// Log-likelihood ratio at which a version is vetoed: the natural logarithm of
@@ -79,6 +81,8 @@
     pub(super) failures: Cusum,
     pub(super) slowness: Cusum,
     pub(super) total: RouteCounts,
+    /// Rejections by both versions.
+    pub(super) rejections: Rejections,
     /// Responses of the new version that came before there was a slow limit.
     pub(super) waiting: Vec<Waiting>,
 }
@@ -92,13 +96,25 @@
 }
 
 impl RouteStats {
-    pub(super) fn record_old(&mut self, sample: &Sample) {
+    pub(super) fn record_old(&mut self, outcome: Outcome) {
         self.old_responses += 1.0;
-        if sample.failed {
-            self.old_failed += 1.0;
-            return;
+        match outcome {
+            Outcome::Succeeded(latency) => self.during.push(latency),
+            Outcome::Failed => self.old_failed += 1.0,
+            Outcome::Rejected(_) => {}
         }
-        self.during.push(sample.latency);
+    }
+
+    /// Returns the number of judged responses of the new version.
+    pub(super) fn judged_responses(&self) -> u64 {
+        self.total.responses + self.rejections.rejected().new
+    }
+
+    /// Returns the log-likelihood ratio of a faulty version to a good one.
+    pub(super) fn suspicion(&self) -> f64 {
+        let difference = self.rejections.difference();
+        let rejections = difference.map_or(0.0, |row| row.log_ratio);
+        self.failures.sum.max(self.slowness.sum).max(rejections)
     }
 
     /// Returns the latency above which a response is slow.
@@ -201,7 +217,26 @@
                 "{slow} of {responses} responses on {name} took longer than {limit} ms, compared with 1 in 10 on the old version"
             ));
         }
-        None
+        self.rejection_fault(name)
+    }
+
+    /// Describes rejections that are the fault of the new version.
+    fn rejection_fault(&self, name: &str) -> Option<String> {
+        let found = self.rejections.difference()?;
+        let Difference {
+            status,
+            rejected,
+            log_ratio,
+        } = found;
+        if log_ratio < VETO_THRESHOLD {
+            return None;
+        }
+        let answers = self.rejections.answers();
+        let status = status.map_or_else(String::new, |status| format!(" with status {status}"));
+        Some(format!(
+            "{} of {} requests on {name} were rejected{status}, compared with {} of {} on the old version",
+            rejected.new, answers.new, rejected.old, answers.old
+        ))
     }
 }
 
--- a/src/entry/call/attempt.rs
+++ b/src/entry/call/attempt.rs
@@ -12,6 +12,8 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 
+use crate::core::answer::Class;
+use crate::core::moves::detector::Outcome;
 use crate::core::retry::Cause;
 use crate::core::route::servers::silence::Suspicion;
 use crate::core::time::Time;
@@ -125,7 +127,7 @@
         self.begin_wait(&sent.attempt);
         let response = self.wait_head(sent).await.map_err(AttemptError::Failed)?;
         // The response to a stream begins with its first data.
-        if !self.route.kind.is_stream() && !response.head.status.is_server_error() {
+        if !self.route.kind.is_stream() && !response.class().is_failure() {
             self.record_begun();
         }
         Ok(response)
@@ -229,7 +231,7 @@
             self.count_run();
         }
         if cause.is_version_fault() {
-            self.record_outcome(&mut attempt, true, Duration::ZERO);
+            self.record_outcome(&mut attempt, Outcome::Failed);
         }
         if cause == Cause::Cut {
             self.check_for_crash(&attempt);
@@ -262,17 +264,17 @@
     }
 
     /// Records the outcome of a request, by which new versions are judged.
-    pub fn record_outcome(&self, attempt: &mut Attempt, failed: bool, latency: Duration) {
+    pub fn record_outcome(&self, attempt: &mut Attempt, outcome: Outcome) {
         if let Some(pending) = attempt.pending.take() {
             pending.settle();
         }
-        if !failed {
+        if outcome != Outcome::Failed {
             self.entry.service_load.count_answered(&self.service);
         }
         let version = &attempt.server.server.version;
         let route = &self.route.name;
         let moves = &self.entry.moves;
-        if moves.record(&self.service, route, version, failed, latency) {
+        if moves.record(&self.service, route, version, outcome) {
             moves::judge(&self.entry);
         }
     }
@@ -385,6 +387,11 @@
 }
 
 impl ServerResponse {
+    /// Returns the class of the response.
+    pub fn class(&self) -> Class {
+        Class::of(self.head.status.as_u16())
+    }
+
     /// Waits for the first bytes of the body.
     ///
     /// # Errors
--- a/src/entry/call/forward.rs
+++ b/src/entry/call/forward.rs
@@ -10,6 +10,8 @@
 use hyper::body::Frame;
 
 use crate::core::Name;
+use crate::core::answer::Class;
+use crate::core::moves::detector::Outcome;
 use crate::core::retry::Cause;
 use crate::core::route::speed::Kind;
 use crate::core::sse;
@@ -82,7 +84,7 @@
         self,
         response: ServerResponse,
     ) -> Result<Response<Body>, (Cause, Box<Call>)> {
-        let is_stream = self.route.kind.is_stream() && response.head.status.is_success();
+        let is_stream = self.route.kind.is_stream() && response.class() == Class::Success;
         let length = response.body.size_hint().upper();
         if !is_stream && length.is_none_or(|length| length <= MAX_BUFFERED_BYTES) {
             return self.forward_buffered(response).await;
@@ -114,14 +116,15 @@
             Err(_) => return Err((self.fail(attempt, Cause::Silent), Box::new(self))),
         };
         let status = response.head.status;
-        let kind = status.is_success().then_some(Kind::Plain);
+        let class = Class::of(status.as_u16());
+        let kind = (class == Class::Success).then_some(Kind::Plain);
         let target = self.route.target_latency;
         attempt.in_flight.record_success(target, kind);
         let latency = attempt.in_flight.age();
-        if !status.is_server_error() {
+        if !class.is_failure() {
             admission::record_first(&self, latency);
         }
-        self.record_outcome(&mut attempt, status.is_server_error(), latency);
+        self.record_outcome(&mut attempt, Outcome::of(status.as_u16(), latency));
         self.record_progress(&mut attempt, true);
         if !response.info.is_closing && !attempt.in_flight.is_server_leaving() {
             let mut connection = response.connection;
@@ -326,7 +329,8 @@
                 if !self.has_data {
                     admission::record_first(&self.call, latency);
                 }
-                self.call.record_outcome(attempt, false, latency);
+                self.call
+                    .record_outcome(attempt, Outcome::of(self.head.status.as_u16(), latency));
             }
         }
         if !std::mem::replace(&mut self.has_data, true) {
@@ -405,8 +409,9 @@
         };
         self.call.record_progress(&mut upstream.attempt, true);
         upstream.attempt.in_flight.record_end();
+        let status = self.head.status.as_u16();
         self.call
-            .record_completion(&upstream.attempt.server, 200, self.bytes, self.resumes);
+            .record_completion(&upstream.attempt.server, status, self.bytes, self.resumes);
         if !upstream.is_closing && !upstream.attempt.in_flight.is_server_leaving() {
             let mut connection = upstream.connection;
             connection.set_idle_timeout(upstream.idle_timeout);
--- a/src/entry/call/hedge.rs
+++ b/src/entry/call/hedge.rs
@@ -197,7 +197,7 @@
     fn check_hedge(&mut self, response: ServerResponse) -> Result<ServerResponse, Cause> {
         if self.route.kind.is_stream() {
             self.check_successor(response)
-        } else if response.head.status.is_server_error() {
+        } else if response.class().is_failure() {
             Err(self.fail(response.attempt, Cause::Failed))
         } else {
             Ok(response)
--- a/src/entry/call/receive.rs
+++ b/src/entry/call/receive.rs
@@ -6,6 +6,7 @@
 use hyper::body::Incoming;
 
 use crate::core::Name;
+use crate::core::answer::Class;
 use crate::core::retry::Cause;
 use crate::core::retry::Decision;
 use crate::entry::Entry;
@@ -72,7 +73,7 @@
             let now = self.entry.clock.now();
             response.attempt.record_life(now);
         }
-        let is_error = response.head.status.is_server_error();
+        let is_error = response.class().is_failure();
         match fault {
             Some(cause) => Err(self.fail(response.attempt, cause)),
             None if is_error && self.may_retry_error(&response.attempt) => {
@@ -88,7 +89,7 @@
     ///
     /// Returns the cause if it is a failure, or not a stream that can be resumed.
     pub fn check_successor(&mut self, response: ServerResponse) -> Result<ServerResponse, Cause> {
-        let cause = if !response.head.status.is_success() {
+        let cause = if response.class() != Class::Success {
             Cause::Failed
         } else if self.is_resumable() && !response.info.is_event_stream {
             Cause::Garbled
@@ -176,6 +177,6 @@
     /// Returns whether the response answers the request, if only with a rejection.
     pub fn is_usable(&self, entry: &Entry, request: &Name) -> bool {
         let info = entry.adapter.dialect.read_response(&self.head);
-        find_fault(&info, request).is_none() && !self.head.status.is_server_error()
+        find_fault(&info, request).is_none() && !Class::of(self.head.status.as_u16()).is_failure()
     }
 }
--- a/src/entry/moves/exchange.rs
+++ b/src/entry/moves/exchange.rs
@@ -54,7 +54,7 @@
         canaries
             .iter()
             .filter(|(_, canary)| !canary.is_finished())
-            .map(|(service, canary)| (service.clone(), canary.detector.evidence().clone()))
+            .map(|(service, canary)| (service.clone(), canary.detector.evidence()))
             .collect()
     }
 
@@ -120,8 +120,9 @@
             };
             let mut others = sum.clone();
             if is_own {
+                let evidence = canary.detector.evidence();
                 for (route, counts) in others.iter_mut() {
-                    if let Some(own) = canary.detector.evidence().get(route) {
+                    if let Some(own) = evidence.get(route) {
                         counts.subtract(own);
                     }
                 }
--- a/src/entry/moves/mod.rs
+++ b/src/entry/moves/mod.rs
@@ -8,6 +8,7 @@
 use crate::core::moves::canary;
 use crate::core::moves::canary::Canary;
 use crate::core::moves::canary::Stage;
+use crate::core::moves::detector::Outcome;
 use crate::core::moves::detector::Sample;
 use crate::core::moves::latencies::Latencies;
 use crate::core::name_map::NameMap;
@@ -197,27 +198,19 @@
 
     /// Records a response of a server that runs `version`, and returns whether it tells
     /// something of a version on trial.
-    pub fn record(
-        &self,
-        service: &str,
-        route: &Name,
-        version: &str,
-        failed: bool,
-        latency: Duration,
-    ) -> bool {
+    pub fn record(&self, service: &str, route: &Name, version: &str, outcome: Outcome) -> bool {
         let mut canaries = self.canaries.lock().unwrap();
         let running = canaries.get_mut(service);
         if let Some(canary) = running.filter(|canary| !canary.is_finished()) {
             let sample = Sample {
                 is_new: *canary.target == *version,
-                failed,
-                latency,
+                outcome,
             };
             canary.detector.record(route, &sample);
             return sample.is_new;
         }
         drop(canaries);
-        if !failed {
+        if let Outcome::Succeeded(latency) = outcome {
             let mut baselines = self.baselines.lock().unwrap();
             baselines
                 .get_or_insert_with(&service.into(), NameMap::new)
--- a/src/load/move_simulation.rs
+++ b/src/load/move_simulation.rs
@@ -15,6 +15,7 @@
 use crate::core::moves::Phase;
 use crate::core::moves::Veto;
 use crate::core::moves::detector::Evidence;
+use crate::core::moves::detector::Outcome;
 use crate::core::moves::detector::RegressionDetector;
 use crate::core::moves::detector::Sample;
 use crate::core::time::Time;
@@ -123,11 +124,12 @@
         // The median latency is 20 ms, with a long tail.
         let spread: f64 = rng.random::<f64>() + rng.random::<f64>() + rng.random::<f64>();
         let millis = 20.0 * latency_factor * (spread / 1.5).powi(2).max(0.2);
-        Sample {
-            is_new,
-            failed: rng.random_bool(failure_rate),
-            latency: Duration::from_secs_f64(millis / 1_000.0),
-        }
+        let outcome = if rng.random_bool(failure_rate) {
+            Outcome::Failed
+        } else {
+            Outcome::Succeeded(Duration::from_secs_f64(millis / 1_000.0))
+        };
+        Sample { is_new, outcome }
     }
 }
 
@@ -311,7 +313,7 @@
             if is_new && is_faulty && self.veto_step.is_some() {
                 self.stop_step = Some(step);
             }
-            self.failed += u64::from(is_new && sample.failed);
+            self.failed += u64::from(is_new && sample.outcome == Outcome::Failed);
             if is_monitored || !is_new {
                 self.nodes[at].detector.record(&routes[route], &sample);
             }
@@ -323,7 +325,7 @@
         let evidence: Vec<Evidence> = self
             .nodes
             .iter()
-            .map(|node| node.detector.evidence().clone())
+            .map(|node| node.detector.evidence())
             .collect();
         for at in 0..NODES {
             for step in 1..=4 {
--- a/src/node/api/llm/call/hedge.rs
+++ b/src/node/api/llm/call/hedge.rs
@@ -111,7 +111,7 @@
                 } else {
                     (second, first)
                 };
-                if matches!(outcome, AttemptOutcome::Rejected(_)) {
+                if matches!(outcome, AttemptOutcome::Rejected { .. }) {
                     // The other engine would reject the request too.
                     failed.put_back(Err(outcome));
                     self.cancel(other);
--- a/src/node/api/llm/call/mod.rs
+++ b/src/node/api/llm/call/mod.rs
@@ -10,6 +10,7 @@
 use crate::core::config::Workspace;
 use crate::core::fingerprint::Fingerprint;
 use crate::core::fingerprint::Identity;
+use crate::core::moves::detector::Outcome;
 use crate::core::refusal::Reason;
 use crate::core::refusal::Refusal;
 use crate::core::retry::Cause;
@@ -242,7 +243,9 @@
                     self.record_success(node, &attempt.server, attempt.started);
                     return CallOutcome::Finished;
                 }
-                AttemptOutcome::Rejected(text) => {
+                AttemptOutcome::Rejected { status, text } => {
+                    let rejected = Outcome::Rejected(status);
+                    self.record_attempt(node, &attempt.server.version, rejected);
                     return CallOutcome::Refused(Refusal::new(Reason::Malformed, text));
                 }
                 AttemptOutcome::CallerGone => return CallOutcome::CallerGone,
--- a/src/node/api/llm/call/outcome.rs
+++ b/src/node/api/llm/call/outcome.rs
@@ -6,6 +6,7 @@
 use tokio::time::Instant;
 
 use crate::core::member::gossip::Fact;
+use crate::core::moves::detector::Outcome;
 use crate::core::refusal::Reason;
 use crate::core::refusal::Refusal;
 use crate::core::retry;
@@ -33,7 +34,10 @@
             .lock()
             .unwrap()
             .record_success(&server.id, latency);
-        self.record_attempt(node, &server.version, false, latency);
+        // The time per token makes responses of different lengths comparable.
+        let tokens = self.record.progress.tokens().max(1) as u32;
+        let succeeded = Outcome::Succeeded(latency / tokens);
+        self.record_attempt(node, &server.version, succeeded);
         // The request succeeds elsewhere, so an earlier crash under it is the fault
         // of that server's version.
         let crashed = node
@@ -49,20 +53,18 @@
                 .get(&id)
                 .map(|s| s.vm.version.clone());
             if let Some(version) = version {
-                self.record_attempt(node, &version, true, latency);
+                self.record_attempt(node, &version, Outcome::Failed);
             }
         }
     }
 
-    fn record_attempt(&self, node: &Node, version: &str, failed: bool, latency: Duration) {
-        // The time per token makes responses of different lengths comparable.
-        let tokens = self.record.progress.tokens().max(1) as u32;
+    /// Records an outcome, by which new versions are judged.
+    pub fn record_attempt(&self, node: &Node, version: &str, outcome: Outcome) {
         node.moves.record(
             &self.completion.model,
             version,
             &self.route_name,
-            failed,
-            latency / tokens,
+            outcome,
             node.clock.now(),
         );
     }
@@ -102,7 +104,7 @@
         drop(attempt);
         llm::count_retry(node, cause.as_str());
         if cause.is_version_fault() {
-            self.record_attempt(node, &server.version, true, Duration::ZERO);
+            self.record_attempt(node, &server.version, Outcome::Failed);
         }
         if cause == Cause::Cut {
             self.detect_crash(node, &server).await;
--- a/src/node/api/plain/hedge.rs
+++ b/src/node/api/plain/hedge.rs
@@ -6,6 +6,7 @@
 use tokio::time::Instant;
 
 use crate::core::Name;
+use crate::core::answer::Class;
 use crate::core::retry;
 use crate::core::retry::Cause;
 use crate::core::retry::hedge;
@@ -183,7 +184,7 @@
 
 fn is_usable(result: &Result<BackendResponse, Cause>) -> bool {
     let response = result.as_ref();
-    response.is_ok_and(|response| !response.status.is_server_error())
+    response.is_ok_and(|response| !Class::of(response.status.as_u16()).is_failure())
 }
 
 /// Returns why a result cannot be used.
--- a/src/node/api/plain/mod.rs
+++ b/src/node/api/plain/mod.rs
@@ -12,9 +12,11 @@
 use tokio::time::Instant;
 
 use crate::core::Name;
+use crate::core::answer::Class;
 use crate::core::config::Service;
 use crate::core::config::ServiceKind;
 use crate::core::limit::Priority;
+use crate::core::moves::detector;
 use crate::core::once::Change;
 use crate::core::once::Claim;
 use crate::core::once::ClaimState;
@@ -210,17 +212,16 @@
     }
 
     fn record(&self, node: &Node, attempt: &Raced) {
-        let failed = match &attempt.result {
-            Ok(response) => response.status.is_server_error(),
-            Err(cause) if cause.is_version_fault() => true,
+        let outcome = match &attempt.result {
+            Ok(response) => detector::Outcome::of(response.status.as_u16(), attempt.latency),
+            Err(cause) if cause.is_version_fault() => detector::Outcome::Failed,
             Err(_) => return,
         };
         node.moves.record(
             &self.service_name,
             &attempt.server.version,
             &self.route,
-            failed,
-            attempt.latency,
+            outcome,
             node.clock.now(),
         );
     }
@@ -270,7 +271,7 @@
             self.record(node, &attempt);
             let cause = match attempt.result {
                 Ok(response) if response.status == StatusCode::SERVICE_UNAVAILABLE => Cause::Busy,
-                Ok(response) if response.status.is_server_error() => Cause::Failed,
+                Ok(response) if Class::of(response.status.as_u16()).is_failure() => Cause::Failed,
                 Ok(response) => return Ok(response),
                 Err(cause) => cause,
             };
@@ -445,7 +446,7 @@
 /// as it is and prevents a resend from running it again.
 fn store_outcome(node: &Arc<Node>, claim: &Claim, result: &Result<BackendResponse, Refusal>) {
     match result {
-        Ok(response) if !response.status.is_server_error() => {
+        Ok(response) if !Class::of(response.status.as_u16()).is_failure() => {
             let change = Change::Finish {
                 key: claim.key.clone(),
                 id: claim.id.clone(),
--- a/src/node/backends/engine.rs
+++ b/src/node/backends/engine.rs
@@ -63,7 +63,12 @@
     /// The engine has sent nothing for a while; the attempt is still open.
     Silent,
     /// The engine rejected the request as invalid, with this error text.
-    Rejected(String),
+    Rejected {
+        /// HTTP status code.
+        status: u16,
+        /// Message of the engine.
+        text: String,
+    },
     /// The caller disconnected.
     CallerGone,
     /// The caller resumed the stream over another connection.
@@ -240,7 +245,10 @@
             let text = crate::web::read(response.into_body(), MAX_ERROR_TEXT_BYTES).await;
             let text = text.unwrap_or_default();
             let text = String::from_utf8_lossy(&text).trim().to_string();
-            Err(AttemptOutcome::Rejected(text))
+            Err(AttemptOutcome::Rejected {
+                status: status.as_u16(),
+                text,
+            })
         }
         _ => Err(AttemptOutcome::Failed(Cause::Failed)),
     }
--- a/src/node/moves.rs
+++ b/src/node/moves.rs
@@ -17,6 +17,7 @@
 use crate::core::moves::MoveSnapshot;
 use crate::core::moves::Phase;
 use crate::core::moves::Veto;
+use crate::core::moves::detector::Outcome;
 use crate::core::moves::detector::RegressionDetector;
 use crate::core::moves::detector::Sample;
 use crate::core::name_map::NameMap;
@@ -137,7 +138,7 @@
             .map(|(name, row)| MoveEvidence {
                 name: name.clone(),
                 start_ms: row.plan.start_ms,
-                evidence: row.detector.evidence().clone(),
+                evidence: row.detector.evidence(),
             })
             .collect()
     }
@@ -176,26 +177,14 @@
     }
 
     /// Records the result of a request to `version`.
-    pub fn record(
-        &self,
-        service: &str,
-        version: &str,
-        route: &Name,
-        failed: bool,
-        latency: Duration,
-        now: Time,
-    ) {
+    pub fn record(&self, service: &str, version: &str, route: &Name, outcome: Outcome, now: Time) {
         let mut rows = self.rows.lock().unwrap();
         for (_, row) in rows.iter_mut() {
             let is_new = *row.plan.to == *version;
             let is_involved =
                 *row.plan.service == *service && (is_new || *row.plan.from == *version);
             if is_involved && row.snapshot(now).is_monitored() {
-                let sample = Sample {
-                    is_new,
-                    failed,
-                    latency,
-                };
+                let sample = Sample { is_new, outcome };
                 row.detector.record(route, &sample);
             }
         }
@@ -226,6 +215,7 @@
         let mut new_facts = Vec::new();
         let mut rows = self.rows.lock().unwrap();
         for (name, row) in rows.iter_mut() {
+            row.detector.record_time(now);
             let snapshot = row.snapshot(now);
             let fault = snapshot
                 .is_monitored()
--- a/tests/decisions/canary.rs
+++ b/tests/decisions/canary.rs
@@ -5,6 +5,7 @@
 use cassialock::core::moves::canary;
 use cassialock::core::moves::canary::Canary;
 use cassialock::core::moves::canary::Stage;
+use cassialock::core::moves::detector::Outcome;
 use cassialock::core::moves::detector::Sample;
 use cassialock::core::time::Time;
 
@@ -33,8 +34,11 @@
             canary::routes_to_new(canary.stage(time_at(ms)), random_number(ms / 10), EXPOSURE);
         let sample = Sample {
             is_new,
-            failed: is_new && failing && ms % 20 == 0,
-            latency: Duration::from_millis(50),
+            outcome: if is_new && failing && ms % 20 == 0 {
+                Outcome::Failed
+            } else {
+                Outcome::Succeeded(Duration::from_millis(50))
+            },
         };
         canary.detector.record(&"r".into(), &sample);
         canary.check();
--- a/tests/decisions/exposure.rs
+++ b/tests/decisions/exposure.rs
@@ -7,6 +7,7 @@
 use cassialock::core::moves::canary::Canary;
 use cassialock::core::moves::canary::Stage;
 use cassialock::core::moves::detector::Evidence;
+use cassialock::core::moves::detector::Outcome;
 use cassialock::core::moves::detector::Sample;
 use cassialock::core::moves::latencies::Latencies;
 use cassialock::core::time::Time;
@@ -51,8 +52,31 @@
     turned_away: f64,
     /// Time at which half of the nodes are killed and start again, in milliseconds.
     killed_ms: Option<u64>,
+    /// Answers that are rejections.
+    rejects: Rejects,
 }
 
+/// Shares of the answers of both versions that are rejections.
+#[derive(Clone, Copy, Debug)]
+struct Rejects {
+    new: f64,
+    old: f64,
+    /// The route with these shares, or `None` for all.
+    only: Option<usize>,
+    /// Time from which they hold, in milliseconds.
+    from_ms: u64,
+    /// Status of the rejections of the new version.
+    status: u16,
+}
+
+const NO_REJECTS: Rejects = Rejects {
+    new: 0.0,
+    old: 0.0,
+    only: None,
+    from_ms: 0,
+    status: 404,
+};
+
 const CALM: Conditions = Conditions {
     nodes: 9,
     rate: 58,
@@ -61,6 +85,7 @@
     factor: 4,
     turned_away: 0.0,
     killed_ms: None,
+    rejects: NO_REJECTS,
 };
 
 /// A response that has not arrived yet.
@@ -175,11 +200,11 @@
         let is_faulty = self.conditions.only.is_none_or(|only| only == index);
         let is_slow = is_new && is_faulty && self.fraction() < self.conditions.slow;
         let latency = self.latency(if is_slow { self.conditions.factor } else { 1 });
-        let sample = Sample {
-            is_new,
-            failed: false,
-            latency,
+        let outcome = match self.rejection(is_new, index, ms) {
+            Some(status) => Outcome::Rejected(status),
+            None => Outcome::Succeeded(latency),
         };
+        let sample = Sample { is_new, outcome };
         let due_ms = ms + latency.as_millis() as u64;
         self.pending.push(Pending {
             node,
@@ -189,6 +214,19 @@
         });
     }
 
+    /// Returns the status with which a request is rejected, if it is.
+    fn rejection(&mut self, is_new: bool, route: usize, ms: u64) -> Option<u16> {
+        let rejects = self.conditions.rejects;
+        let is_concerned = rejects.only.is_none_or(|only| only == route) && ms >= rejects.from_ms;
+        let (share, status) = if is_new {
+            (rejects.new, rejects.status)
+        } else {
+            (rejects.old, 404)
+        };
+        let is_rejected = is_concerned && share > 0.0 && self.fraction() < share;
+        is_rejected.then_some(status)
+    }
+
     fn receive(&mut self, ms: u64) {
         for response in self.pending.extract_if(.., |row| row.due_ms <= ms) {
             let node = &mut self.nodes[response.node];
@@ -203,7 +241,7 @@
         let status = |(index, node): (usize, &Node)| Status {
             sender: index.to_string().into(),
             incarnation: node.incarnation,
-            evidence: node.canary.detector.evidence().clone(),
+            evidence: node.canary.detector.evidence(),
             is_vetoed: node.canary.is_vetoed(),
             elapsed: node.canary.elapsed(now),
             steps: node.canary.steps(),
@@ -320,7 +358,7 @@
                         only: None,
                         factor,
                         turned_away,
-                        killed_ms: None,
+                        ..CALM
                     };
                     assert_taken_back(conditions, 2);
                 }
@@ -355,3 +393,115 @@
         assert_taken_back(conditions, 20);
     }
 }
+
+/// Guards against a version that is completed because what it answers is no server error.
+#[test]
+fn a_version_that_rejects_requests_gets_few_of_them() {
+    for (nodes, rate) in [(3, 100), (9, 58), (77, 400), (300, 1_600)] {
+        for only in [None, Some(0), Some(1)] {
+            for (new, old, status) in [
+                (1.0, 0.0, 404),
+                (1.0, 0.0, 302),
+                (0.5, 0.0, 400),
+                (1.0, 0.3, 404),
+                (0.4, 0.4, 401),
+            ] {
+                let rejects = Rejects {
+                    new,
+                    old,
+                    only,
+                    status,
+                    ..NO_REJECTS
+                };
+                let conditions = Conditions {
+                    nodes,
+                    rate,
+                    rejects,
+                    ..CALM
+                };
+                assert_taken_back(conditions, 2);
+            }
+        }
+    }
+}
+
+/// Guards against a version that begins to reject requests after it was found to be good.
+#[test]
+fn a_version_that_rejects_requests_late_is_taken_back() {
+    for from_ms in [4_000, 8_000, 10_500] {
+        let rejects = Rejects {
+            new: 1.0,
+            only: Some(0),
+            from_ms,
+            ..NO_REJECTS
+        };
+        let conditions = Conditions {
+            rate: 100,
+            rejects,
+            ..CALM
+        };
+        for seed in 0..20 {
+            let outcome = Play::new(conditions, seed).run();
+            assert_eq!(
+                outcome,
+                Some(Stage::RolledBack),
+                "{from_ms} ms, seed {seed}"
+            );
+        }
+    }
+}
+
+/// Returns how many of 40 moves to a good version are completed.
+fn completed(conditions: Conditions) -> usize {
+    let is_completed = |seed: &u64| Play::new(conditions, *seed).run() == Some(Stage::Done);
+    (0..40).filter(is_completed).count()
+}
+
+/// Guards against a good version that is taken back for the rejections that its callers
+/// bring about.
+#[test]
+fn a_version_that_rejects_as_much_as_the_old_one_is_completed() {
+    for share in [0.02, 0.1, 0.3, 0.6, 0.9, 1.0] {
+        for only in [None, Some(0), Some(1)] {
+            for (nodes, rate) in [(3, 100), (9, 170)] {
+                let rejects = Rejects {
+                    new: share,
+                    old: share,
+                    only,
+                    ..NO_REJECTS
+                };
+                let conditions = Conditions {
+                    nodes,
+                    rate,
+                    rejects,
+                    ..CALM
+                };
+                let done = completed(conditions);
+                assert!(done >= 38, "{done} of 40, {conditions:?}");
+            }
+        }
+    }
+}
+
+/// Guards against a version that is blamed because callers begin to send something else
+/// while it is on trial.
+#[test]
+fn callers_that_change_during_the_trial_do_not_end_a_good_version() {
+    for from_ms in [2_000, 5_000, 8_000] {
+        for share in [0.2, 0.6, 1.0] {
+            let rejects = Rejects {
+                new: share,
+                old: share,
+                from_ms,
+                ..NO_REJECTS
+            };
+            let conditions = Conditions {
+                rate: 100,
+                rejects,
+                ..CALM
+            };
+            let done = completed(conditions);
+            assert!(done >= 38, "{done} of 40, {conditions:?}");
+        }
+    }
+}
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -29,6 +29,7 @@
 mod quota_fleet;
 mod quota_play;
 mod race;
+mod rejections;
 mod relay;
 mod removal;
 mod restarts;
--- a/tests/decisions/moves.rs
+++ b/tests/decisions/moves.rs
@@ -7,6 +7,7 @@
 use cassialock::core::moves::MoveSnapshot;
 use cassialock::core::moves::Phase;
 use cassialock::core::moves::Veto;
+use cassialock::core::moves::detector::Outcome;
 use cassialock::core::moves::detector::RegressionDetector;
 use cassialock::core::moves::detector::Sample;
 use cassialock::core::time::Time;
@@ -99,8 +100,11 @@
 fn sample(is_new: bool, failed: bool, millis: u64) -> Sample {
     Sample {
         is_new,
-        failed,
-        latency: Duration::from_millis(millis),
+        outcome: if failed {
+            Outcome::Failed
+        } else {
+            Outcome::Succeeded(Duration::from_millis(millis))
+        },
     }
 }
 
@@ -170,11 +174,11 @@
     for _ in 0..30 {
         peer.record(&"a".into(), &sample(true, false, 12));
     }
-    let earlier = peer.evidence().clone();
+    let earlier = peer.evidence();
     for _ in 0..10 {
         peer.record(&"a".into(), &sample(true, true, 0));
     }
-    let later = peer.evidence().clone();
+    let later = peer.evidence();
     let mut local = detector_with_baseline();
     local.merge(&"peer".into(), &later);
     local.merge(&"peer".into(), &earlier);
--- a/tests/decisions/restarts.rs
+++ b/tests/decisions/restarts.rs
@@ -5,6 +5,7 @@
 use cassialock::core::Name;
 use cassialock::core::aggregate::summary::DomainSummary;
 use cassialock::core::moves::detector::Evidence;
+use cassialock::core::moves::detector::Outcome;
 use cassialock::core::moves::detector::RegressionDetector;
 use cassialock::core::moves::detector::RouteCounts;
 use cassialock::core::name_map::NameMap;
@@ -143,7 +144,7 @@
     let moves = declared_at(1_000);
     let now = Time::from_millis(12_000);
     for _ in 0..4 {
-        moves.record("s", &"r".into(), "v2", true, Duration::from_millis(10));
+        moves.record("s", &"r".into(), "v2", Outcome::Failed);
     }
     moves.merge_promotions(&[promotion(2, Duration::from_secs(11))], now);
     assert!(moves.promotions(now).is_empty());
--- a/tests/decisions/slowness.rs
+++ b/tests/decisions/slowness.rs
@@ -5,6 +5,7 @@
 use cassialock::core::Name;
 use cassialock::core::catalog::Catalog;
 use cassialock::core::moves::detector::Evidence;
+use cassialock::core::moves::detector::Outcome;
 use cassialock::core::moves::detector::RegressionDetector;
 use cassialock::core::moves::detector::RouteCounts;
 use cassialock::core::time::Time;
@@ -27,7 +28,8 @@
 fn record(moves: &Moves, version: &str, latency: u64) {
     for count in 0..RESPONSES {
         let spread = latency * (count % 11) / 20;
-        moves.record(SERVICE, &route(), version, false, ms(latency + spread));
+        let outcome = Outcome::Succeeded(ms(latency + spread));
+        moves.record(SERVICE, &route(), version, outcome);
     }
 }
 
@@ -83,7 +85,7 @@
     declare(&moves);
     record(&moves, "v2", 400);
     assert_eq!(counts(&moves).responses, 0, "nothing to compare with");
-    moves.record(SERVICE, &route(), "v2", true, ms(1));
+    moves.record(SERVICE, &route(), "v2", Outcome::Failed);
     assert_eq!(counts(&moves).failed, 1, "a failure needs no limit");
     record(&moves, "v1", 100);
     assert_eq!(counts(&moves).responses, RESPONSES + 1);
--- a/tests/entry/versions.rs
+++ b/tests/entry/versions.rs
@@ -17,15 +17,16 @@
 /// Requests that are open at a time.
 const BATCH: usize = 60;
 
-/// Starts a server that answers after `delay`.
-async fn server(delay: Duration) -> SocketAddr {
+/// Starts a server that answers with `status` after `delay`.
+async fn server(status: u16, delay: Duration) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     tokio::spawn(async move {
         let (_keep, stopped) = watch::channel(false);
         let handler = move |request: http::Request<hyper::body::Incoming>, _| async move {
             tokio::time::sleep(delay).await;
-            let mut response: Response<_> = cassialock::web::text(http::StatusCode::OK, "answer");
+            let status = status.try_into().unwrap();
+            let mut response: Response<_> = cassialock::web::text(status, "answer");
             let id = request.headers()["x-cassialock-request-id"].clone();
             let headers = response.headers_mut();
             headers.insert("x-cassialock-request-id", id);
@@ -40,8 +41,19 @@
 /// Runs requests during a move to a version that answers after `delay`, and returns
 /// whether the version was found to be faulty.
 async fn is_vetoed(delay: Duration, path: &str) -> bool {
-    let old = server(Duration::from_millis(5)).await;
-    let new = server(delay).await;
+    let old = server(200, Duration::from_millis(5)).await;
+    let new = server(200, delay).await;
+    is_found(old, new, path).await
+}
+
+/// Does the same with versions that answer with certain statuses.
+async fn is_rejecting(old: u16, new: u16, path: &str) -> bool {
+    let old = server(old, Duration::from_millis(5)).await;
+    let new = server(new, Duration::from_millis(5)).await;
+    is_found(old, new, path).await
+}
+
+async fn is_found(old: SocketAddr, new: SocketAddr, path: &str) -> bool {
     let declared = DeclaredMove {
         service: "dosel-llm".into(),
         target: "v2".into(),
@@ -77,3 +89,21 @@
 async fn a_version_that_is_as_fast_is_kept() {
     assert!(!is_vetoed(Duration::from_millis(5), "/read/x").await);
 }
+
+/// Guards against a version that has lost a route and is completed, since it does not answer
+/// with server errors.
+#[tokio::test]
+async fn a_version_that_rejects_what_the_old_one_serves_is_vetoed() {
+    for status in [302, 400, 404, 405] {
+        assert!(is_rejecting(200, status, "/order/x").await, "{status}");
+    }
+    assert!(is_rejecting(200, 404, "/read/x").await);
+    assert!(is_rejecting(404, 400, "/read/x").await);
+}
+
+/// Guards against a version that is blamed for what its callers ask for.
+#[tokio::test]
+async fn a_version_that_rejects_what_the_old_one_rejects_is_kept() {
+    assert!(!is_rejecting(404, 404, "/order/x").await);
+    assert!(!is_rejecting(404, 200, "/order/x").await);
+}
