Take an undefined status for a failure of the server

What callers saw: an answer with a status of 600 or more was passed on as a good one; an idempotent request was not tried at another server, and the version counted it as a success. Cause: "server error" meant 500 to 599. The protocol (RFC 9110, section 15) has a recipient treat a status outside of 100 to 599 as a server error. Change: core::answer::Class counts it as a failure, for retries, hedges, successors of streams and versions. If no retry is allowed, the server's status is delivered as it came. Tests: an_answer_with_an_undefined_status_is_a_failure failed with the old classes (600 where 200 is asked for) and passes.

--- a/src/core/answer.rs
+++ b/src/core/answer.rs
@@ -13,9 +13,12 @@
 
 impl Class {
     /// Returns the class of a status.
+    ///
+    /// A status that the protocol does not define, and an interim one in place of the final
+    /// answer, is a failure.
     pub const fn of(status: u16) -> Self {
         match status {
-            200..=299 | 600.. => Class::Success,
+            200..=299 => Class::Success,
             300..=499 => Class::Rejection,
             _ => Class::Failure,
         }
--- a/tests/decisions/rejections.rs
+++ b/tests/decisions/rejections.rs
@@ -40,6 +40,8 @@
         (499, Class::Rejection),
         (500, Class::Failure),
         (599, Class::Failure),
+        (600, Class::Failure),
+        (999, Class::Failure),
     ] {
         assert_eq!(Class::of(status), class, "{status}");
     }
--- a/tests/entry/versions.rs
+++ b/tests/entry/versions.rs
@@ -94,7 +94,7 @@
 /// with server errors.
 #[tokio::test]
 async fn a_version_that_rejects_what_the_old_one_serves_is_vetoed() {
-    for status in [302, 400, 404, 405] {
+    for status in [302, 400, 404, 405, 600] {
         assert!(is_rejecting(200, status, "/order/x").await, "{status}");
     }
     assert!(is_rejecting(200, 404, "/read/x").await);
@@ -107,3 +107,19 @@
     assert!(!is_rejecting(404, 404, "/order/x").await);
     assert!(!is_rejecting(404, 200, "/order/x").await);
 }
+
+/// Guards against an answer outside of the protocol that counts as a success.
+#[tokio::test]
+async fn an_answer_with_an_undefined_status_is_a_failure() {
+    let harness = Harness::with_backends(&[
+        server(600, Duration::ZERO).await,
+        server(200, Duration::ZERO).await,
+    ])
+    .await;
+    for id in 0..8 {
+        let id = format!("q-{id}");
+        assert_eq!(harness.call("GET", "/read/x", &id, "k-1").await, 200);
+    }
+    let harness = Harness::with_backends(&[server(600, Duration::ZERO).await]).await;
+    assert_eq!(harness.call("POST", "/order/x", "q-9", "k-1").await, 600);
+}
