Break off an answer that ends before its request is sent

Cause: an answer without a length was whole if its connection ended in order. Whether the server had taken the request was not asked. Evidence: of three ways to end early, the answer looked complete in one, on a resumable stream first. After a reset, and after a close with unread bytes, it did not on the code as it stood, also where the sender meets the reset first. Statuses 000, 099, -01 and 20 are answered with 502 by the code as it stood; a test holds that now. Change: the stream of a connection knows whether its last write was taken whole. An answer that only the end of its connection ends is whole only if nothing of the request waits to be sent. Calls to the store and the cloud follow the same rule.

--- a/src/entry/call/forward.rs
+++ b/src/entry/call/forward.rs
@@ -99,6 +99,7 @@
         response: ServerResponse,
     ) -> Result<Response<Body>, (Cause, Box<Call>)> {
         let mut attempt = response.attempt;
+        let mut connection = response.connection;
         let may_be_cut = response.info.ends_with_connection && !response.body.is_end_stream();
         self.count_run();
         let unreserved = MAX_BUFFERED_BYTES as usize;
@@ -106,7 +107,7 @@
         let read = tokio::time::timeout(self.time_left(), reading).await;
         let body = match read {
             // Without a length, a body that is cut before its first byte looks empty.
-            Ok(Ok(body)) if !may_be_cut || !body.is_empty() => body,
+            Ok(Ok(body)) if !may_be_cut || !body.is_empty() && connection.has_sent_whole() => body,
             Ok(Ok(_) | Err(web::ReadError::Cut)) => {
                 return Err((self.fail(attempt, Cause::Cut), Box::new(self)));
             }
@@ -127,7 +128,6 @@
         self.record_outcome(&mut attempt, Outcome::of(status.as_u16(), latency));
         self.record_progress(&mut attempt, true);
         if !response.info.is_closing && !attempt.in_flight.is_server_leaving() {
-            let mut connection = response.connection;
             connection.set_idle_timeout(response.info.idle_timeout);
             self.entry.pool.put(connection);
         }
@@ -210,7 +210,7 @@
                     // Trailers and empty frames are not forwarded.
                     _ => continue,
                 },
-                Ok(Some(None)) if is_inside_event || self.may_be_cut() => Cause::Cut,
+                Ok(Some(None)) if is_inside_event || self.is_cut() => Cause::Cut,
                 Ok(Some(None)) if self.order.is_joining() => self.refuse_run(None),
                 Ok(Some(None)) => {
                     self.finish();
@@ -387,11 +387,12 @@
             || self.call.route.kind.is_stream() && self.boundary.is_inside()
     }
 
-    /// Returns whether nothing has arrived of a response whose end only the connection
-    /// shows.
-    fn may_be_cut(&self) -> bool {
+    /// Returns whether the end of a response that only the connection shows came before its
+    /// first byte, or before the request was sent.
+    fn is_cut(&self) -> bool {
         let upstream = self.upstream.as_ref();
-        self.bytes == 0 && upstream.is_some_and(|upstream| upstream.may_be_cut)
+        let upstream = upstream.filter(|upstream| upstream.may_be_cut);
+        upstream.is_some_and(|it| self.bytes == 0 || !it.connection.has_sent_whole())
     }
 
     /// Drops the current upstream and records its failure.
--- a/src/entry/call/upstream.rs
+++ b/src/entry/call/upstream.rs
@@ -22,7 +22,7 @@
     pub(super) has_data: bool,
     pub(super) idle_timeout: Option<Duration>,
     pub(super) is_closing: bool,
-    /// Whether a body that seems to be empty may have been cut.
+    /// Whether only the end of the connection shows that of the body.
     pub(super) may_be_cut: bool,
 }
 
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -176,6 +176,9 @@
     let body = web::read(response.into_body(), MAX_RESPONSE_BYTES)
         .await
         .map_err(|e| StoreError::Lost(format!("body: {e:?}")))?;
+    if web::ends_with_connection(&headers) && !connection.has_sent_whole() {
+        return Err(StoreError::Lost("the response ended too early".into()));
+    }
     Ok(ApiResponse {
         status,
         headers,
--- a/src/platform/protocol.rs
+++ b/src/platform/protocol.rs
@@ -368,8 +368,7 @@
             is_promise: PROMISES.contains(&head.status),
             is_signed: headers.contains_key(RESPONSE_STAMP),
             is_event_stream: head.status == StatusCode::OK && has_events(headers),
-            ends_with_connection: !headers.contains_key(header::CONTENT_LENGTH)
-                && !headers.contains_key(header::TRANSFER_ENCODING),
+            ends_with_connection: web::ends_with_connection(headers),
             notice: self.read_notice(head.status, headers),
             idle_timeout: text(headers, &KEEP_ALIVE).and_then(parse_keep_alive),
             is_closing: has_close(headers),
--- a/src/web/head_limit.rs
+++ b/src/web/head_limit.rs
@@ -1,8 +1,10 @@
-//! A stream that counts received bytes and limits those before the head of a response.
+//! A stream that counts received bytes, limits those before the head of a response, and
+//! knows whether a message is still being sent.
 
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::task::Context;
@@ -35,6 +37,8 @@
 struct Counts {
     left: AtomicUsize,
     received: AtomicUsize,
+    /// Whether the last write was not taken whole.
+    is_sending: AtomicBool,
 }
 
 impl Default for Allowance {
@@ -42,6 +46,7 @@
         Self(Arc::new(Counts {
             left: AtomicUsize::new(usize::MAX),
             received: AtomicUsize::new(0),
+            is_sending: AtomicBool::new(false),
         }))
     }
 }
@@ -72,6 +77,17 @@
         self.0.received.load(Ordering::Relaxed)
     }
 
+    /// Returns whether something waits to be sent, or could not be sent.
+    pub fn is_sending(&self) -> bool {
+        self.0.is_sending.load(Ordering::Relaxed)
+    }
+
+    /// Records what became of a write of `length` bytes.
+    fn record_write(&self, length: usize, written: &Poll<io::Result<usize>>) {
+        let is_whole = matches!(written, Poll::Ready(Ok(sent)) if *sent == length);
+        self.0.is_sending.store(!is_whole, Ordering::Relaxed);
+    }
+
     /// Subtracts received bytes, and returns whether they were allowed.
     fn spend(&self, bytes: usize) -> bool {
         self.0.received.fetch_add(bytes, Ordering::Relaxed);
@@ -176,7 +192,9 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.begin_write();
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.allowance.record_write(bytes.len(), &written);
+        written
     }
 
     fn poll_write_vectored(
@@ -185,7 +203,10 @@
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.begin_write();
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        let length = slices.iter().map(|slice| slice.len()).sum();
+        self.allowance.record_write(length, &written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/web/mod.rs
+++ b/src/web/mod.rs
@@ -10,6 +10,7 @@
 use bytes::BytesMut;
 use futures_util::FutureExt;
 use futures_util::stream;
+use http::HeaderMap;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -189,6 +190,12 @@
         .map_err(|e| text(StatusCode::BAD_REQUEST, format!("body: {e}")))
 }
 
+/// Returns whether only the end of the connection shows the end of a response's body.
+pub fn ends_with_connection(headers: &HeaderMap) -> bool {
+    !headers.contains_key(header::CONTENT_LENGTH)
+        && !headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Returns the value of a query parameter.
 pub fn query_param(uri: &http::Uri, name: &str) -> Option<String> {
     let query = uri.query()?;
--- a/src/web/pool.rs
+++ b/src/web/pool.rs
@@ -158,6 +158,14 @@
         }
     }
 
+    /// Returns whether the peer has left room for all of the request, so that nothing of it
+    /// waits to be sent.
+    ///
+    /// A response whose end only the connection shows is whole only then.
+    pub fn has_sent_whole(&self) -> bool {
+        !self.allowance.is_sending()
+    }
+
     /// Returns whether any byte was received after the last request was sent.
     pub fn has_received(&self) -> bool {
         self.has_received
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -35,5 +35,6 @@
 mod turned_away;
 mod unframed;
 mod unhedged;
+mod uploads;
 mod versions;
 mod workspaces;
--- a/tests/entry/requests.rs
+++ b/tests/entry/requests.rs
@@ -10,6 +10,8 @@
 
 use crate::harness;
 use crate::harness::Harness;
+use crate::scripted;
+use crate::scripted::Step;
 
 /// Time that a caller waits for an answer.
 const PATIENCE: Duration = Duration::from_millis(400);
@@ -50,6 +52,21 @@
     assert_eq!(harness.runs(), 1);
 }
 
+/// Guards against a status that is no status, which a caller would take for an answer.
+#[tokio::test]
+async fn an_answer_with_a_status_below_100_is_not_delivered() {
+    for status in ["000", "099", "-01", "20"] {
+        for path in ["/read/x", "/order/x", "/draft/x"] {
+            let head = scripted::HEAD.replace("200", status);
+            let answer = format!("{head}content-length: 6\r\n\r\nanswer");
+            let server = scripted::start(vec![Step::Send(answer)]).await;
+            let harness = Harness::with_backend(server).await;
+            let answer = scripted::call(&harness, path).await;
+            assert_eq!(harness::status(&answer), 502, "{status} {path}: {answer}");
+        }
+    }
+}
+
 #[tokio::test]
 async fn a_request_that_busy_servers_did_not_run_is_refused_as_not_run() {
     let harness = Harness::start(true).await;
