Obey a server that wants nothing for more than a minute

Cause: one answer closed a server for at most 60 s, to bound nonsensical values; the bound lay inside the sensible ones. Tests: a_server_that_stays_away_for_minutes_is_left_alone_for_as_long failed before at 61 s and passes.

--- a/src/core/route/servers/closure.rs
+++ b/src/core/route/servers/closure.rs
@@ -12,8 +12,8 @@
 use crate::core::route::servers::cold::Coldness;
 use crate::core::time::Time;
 
-/// Longest time for which one answer closes a server.
-pub const MAX_CLOSURE: Duration = Duration::from_secs(60);
+/// Longest time for which one answer closes a server, which may state any.
+pub const MAX_CLOSURE: Duration = Duration::from_secs(3_600);
 
 /// Time without an answer to a trial after which another request may be tried.
 const TRIAL_TIMEOUT: Duration = Duration::from_secs(2);
--- a/tests/decisions/closure.rs
+++ b/tests/decisions/closure.rs
@@ -106,6 +106,21 @@
     assert!(!view.accepts("i-2/1", None), "it is not known");
 }
 
+/// Guards against requests to a server that has asked for more than a minute without any.
+#[test]
+fn a_server_that_stays_away_for_minutes_is_left_alone_for_as_long() {
+    for seconds in [61_u32, 90, 900, 3_600] {
+        let mut view = view(0, &[vm(0, 1)]);
+        view.record_notice("i-0/1", &turned_away(f64::from(seconds)), &rejection(START));
+        let end = START + Duration::from_secs(u64::from(seconds));
+        assert!(
+            candidates(&view, end.before(millis(1))).is_empty(),
+            "{seconds}"
+        );
+        assert_eq!(candidates(&view, end).len(), 1, "{seconds}");
+    }
+}
+
 #[test]
 fn times_that_make_no_sense_are_bounded() {
     for seconds in [f64::INFINITY, 1e300, 1e9, f64::MAX] {
