--- a/src/core/route/servers/closure.rs
+++ b/src/core/route/servers/closure.rs
@@ -12,7 +12,7 @@
 use crate::core::route::servers::cold::Coldness;
 use crate::core::time::Time;
 
-/// Longest time for which one answer closes a server, which may state any.
+/// Longest time for which one answer closes a server, whatever it states.
 pub const MAX_CLOSURE: Duration = Duration::from_secs(3_600);
 
 /// Time without an answer to a trial after which another request may be tried.
--- a/src/entry/call/attempt.rs
+++ b/src/entry/call/attempt.rs
@@ -12,7 +12,6 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 
-use crate::core::answer::Class;
 use crate::core::moves::detector::Outcome;
 use crate::core::retry::Cause;
 use crate::core::route::servers::silence::Suspicion;
@@ -387,11 +386,6 @@
 }
 
 impl ServerResponse {
-    /// Returns the class of the response.
-    pub fn class(&self) -> Class {
-        Class::of(self.head.status.as_u16())
-    }
-
     /// Waits for the first bytes of the body.
     ///
     /// # Errors
--- a/src/entry/call/forward.rs
+++ b/src/entry/call/forward.rs
@@ -391,8 +391,9 @@
     /// first byte, or before the request was sent.
     fn is_cut(&self) -> bool {
         let upstream = self.upstream.as_ref();
-        let upstream = upstream.filter(|upstream| upstream.may_be_cut);
-        upstream.is_some_and(|it| self.bytes == 0 || !it.connection.has_sent_whole())
+        upstream.is_some_and(|upstream| {
+            upstream.may_be_cut && (self.bytes == 0 || !upstream.connection.has_sent_whole())
+        })
     }
 
     /// Drops the current upstream and records its failure.
--- a/src/entry/call/receive.rs
+++ b/src/entry/call/receive.rs
@@ -158,6 +158,13 @@
     }
 }
 
+impl ServerResponse {
+    /// Returns the class of the response.
+    pub fn class(&self) -> Class {
+        Class::of(self.head.status.as_u16())
+    }
+}
+
 impl ReceivedHead {
     /// Splits a response that arrived on `connection`.
     pub fn new(connection: Connection, response: Response<Incoming>) -> Self {
--- a/tests/entry/harness.rs
+++ b/tests/entry/harness.rs
@@ -30,15 +30,12 @@
 use cassialock::entry::settings::Settings;
 use cassialock::platform::protocol::HeaderProtocol;
 use cassialock::telemetry::events::EventLog;
-use cassialock::web;
 use crossbeam::channel;
-use http::Response;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
@@ -46,6 +43,7 @@
 use crate::fakes::FakeCloud;
 use crate::fakes::FakeStore;
 use crate::fakes::Script;
+use crate::pathwise;
 
 /// Timeout for anything that must happen.
 const TIMEOUT: Duration = Duration::from_secs(10);
@@ -65,96 +63,6 @@
     _port: TcpSocket,
 }
 
-/// Returns the backend server's response for a path.
-fn respond(path: &str, id: &str) -> Response<web::Body> {
-    let response = |status: u16, stamp: Option<&str>, id: &str| {
-        let mut response = web::text(status.try_into().unwrap(), "answer");
-        let headers = response.headers_mut();
-        headers.insert("x-cassialock-request-id", id.parse().unwrap());
-        if let Some(stamp) = stamp {
-            headers.insert("x-cassialock-response-stamp", stamp.parse().unwrap());
-        }
-        response
-    };
-    match path.rsplit('/').next().unwrap() {
-        "cut" => web::abort(),
-        "crossed" => response(200, Some("s"), "another"),
-        "failed" => response(500, Some("s"), id),
-        "unsigned" => response(200, None, id),
-        "busy" => {
-            let mut response = response(503, None, id);
-            let headers = response.headers_mut();
-            headers.insert("x-cassialock-not-executed", "1".parse().unwrap());
-            response
-        }
-        _ => response(200, Some("s"), id),
-    }
-}
-
-/// Streams the events after `last`; the stream of the first run is cut within an
-/// event.
-fn stream_events(last: Option<&http::HeaderValue>, id: &str) -> Response<web::Body> {
-    let first = last.map_or(1, |last| last.to_str().unwrap().parse::<u32>().unwrap() + 1);
-    let (sender, parts) = mpsc::channel(8);
-    for at in first..first + 3 {
-        let event = format!("id: {at}\ndata: {at}\n\n");
-        sender.try_send(Ok(event.into())).unwrap();
-    }
-    if last.is_none() {
-        let part = format!("id: {}\nda", first + 3);
-        sender.try_send(Ok(part.into())).unwrap();
-        tokio::spawn(async move {
-            // The earlier events must be sent before the stream is cut.
-            tokio::time::sleep(Duration::from_millis(100)).await;
-            sender.try_send(Err(std::io::Error::other("cut"))).unwrap();
-        });
-    }
-    let mut response = web::event_stream(parts);
-    let headers = response.headers_mut();
-    headers.insert("x-cassialock-request-id", id.parse().unwrap());
-    headers.insert("x-cassialock-response-stamp", "s".parse().unwrap());
-    response
-}
-
-/// Counts the requests that are cancelled before they are answered.
-struct CancelCounter(Arc<AtomicUsize>);
-
-impl Drop for CancelCounter {
-    fn drop(&mut self) {
-        self.0.fetch_add(1, Ordering::Relaxed);
-    }
-}
-
-/// Starts a backend server that counts the requests that it runs.
-pub async fn backend(runs: Arc<AtomicUsize>, cancelled: Arc<AtomicUsize>) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    tokio::spawn(async move {
-        let (_keep, stopped) = watch::channel(false);
-        let handler = move |request: http::Request<hyper::body::Incoming>, _| {
-            runs.fetch_add(1, Ordering::Relaxed);
-            let id = request.headers()["x-cassialock-request-id"].clone();
-            let id = id.to_str().unwrap();
-            let answer = if request.uri().path().starts_with("/follow/") {
-                stream_events(request.headers().get("last-event-id"), id)
-            } else {
-                respond(request.uri().path(), id)
-            };
-            let is_slow = request.uri().path().ends_with("/slow");
-            let counter = CancelCounter(Arc::clone(&cancelled));
-            async move {
-                if is_slow {
-                    tokio::time::sleep(TIMEOUT).await;
-                }
-                std::mem::forget(counter);
-                answer
-            }
-        };
-        web::serve(listener, handler, stopped).await;
-    });
-    address
-}
-
 fn route(prefix: &str, kind: RouteKind) -> Route {
     Route {
         name: prefix.into(),
@@ -242,7 +150,7 @@
     pub async fn start(has_backend: bool) -> Self {
         let (runs, cancelled) = (Arc::default(), Arc::default());
         let address = if has_backend {
-            backend(Arc::clone(&runs), Arc::clone(&cancelled)).await
+            pathwise::backend(Arc::clone(&runs), Arc::clone(&cancelled)).await
         } else {
             free_port().await
         };
@@ -511,6 +419,14 @@
     }
 }
 
+/// Returns whether an answer is a success that looks complete to its caller.
+pub fn is_complete(answer: &str) -> bool {
+    let is_chunked = answer
+        .to_ascii_lowercase()
+        .contains("transfer-encoding: chunked");
+    answer.starts_with("HTTP/1.1 200") && (!is_chunked || answer.ends_with("\r\n0\r\n\r\n"))
+}
+
 /// Returns the status of an answer, or 0.
 pub fn status(answer: &str) -> u16 {
     let status = answer.split(' ').nth(1).unwrap_or_default();
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -21,6 +21,7 @@
 mod limits;
 mod misplaced;
 mod overdue;
+mod pathwise;
 mod paused;
 mod probed;
 mod promises;
--- a/tests/entry/unframed.rs
+++ b/tests/entry/unframed.rs
@@ -10,6 +10,7 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
+use crate::harness;
 use crate::harness::Harness;
 use crate::scripted;
 use crate::scripted::Step;
@@ -62,11 +63,7 @@
     let reading = stream.read_to_end(&mut answer);
     let _ = tokio::time::timeout(TIMEOUT, reading).await.unwrap();
     let answer = String::from_utf8_lossy(&answer).into_owned();
-    let is_chunked = answer
-        .to_ascii_lowercase()
-        .contains("transfer-encoding: chunked");
-    let is_complete =
-        answer.starts_with("HTTP/1.1 200") && (!is_chunked || answer.ends_with("\r\n0\r\n\r\n"));
+    let is_complete = harness::is_complete(&answer);
     (answer, is_complete)
 }
 
--- a/tests/entry/uploads.rs
+++ b/tests/entry/uploads.rs
@@ -14,6 +14,7 @@
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 
+use crate::harness;
 use crate::harness::Harness;
 use crate::scripted;
 
@@ -116,11 +117,7 @@
     let reading = stream.read_to_end(&mut answer);
     let _ = tokio::time::timeout(TIMEOUT, reading).await.unwrap();
     let answer = String::from_utf8_lossy(&answer).into_owned();
-    let is_chunked = answer
-        .to_ascii_lowercase()
-        .contains("transfer-encoding: chunked");
-    let is_complete =
-        answer.starts_with("HTTP/1.1 200") && (!is_chunked || answer.ends_with("\r\n0\r\n\r\n"));
+    let is_complete = harness::is_complete(&answer);
     (answer, is_complete)
 }
 
--- a/tests/entry/workspaces.rs
+++ b/tests/entry/workspaces.rs
@@ -16,6 +16,7 @@
 use crate::fakes::Script;
 use crate::harness;
 use crate::harness::Harness;
+use crate::pathwise;
 
 /// Returns the catalog of the harness without its workspace.
 fn without_workspaces(version: u64) -> Catalog {
@@ -27,7 +28,7 @@
 /// Starts an entry whose first catalog has no workspaces.
 async fn start(script: Arc<Script>, change: impl Fn(&mut Settings)) -> (Harness, Arc<AtomicUsize>) {
     let runs = Arc::new(AtomicUsize::new(0));
-    let address = harness::backend(Arc::clone(&runs), Arc::default()).await;
+    let address = pathwise::backend(Arc::clone(&runs), Arc::default()).await;
     let harness = Harness::with_catalog(address, without_workspaces(1), script, change).await;
     wait_known(&harness.entry).await;
     (harness, runs)
@@ -123,7 +124,7 @@
     let script = Arc::new(Script::default());
     script.is_unreadable.store(true, Ordering::Relaxed);
     let runs = Arc::new(AtomicUsize::new(0));
-    let address = harness::backend(Arc::clone(&runs), Arc::default()).await;
+    let address = pathwise::backend(Arc::clone(&runs), Arc::default()).await;
     let store = Arc::clone(&script);
     let harness = Harness::with_catalog(address, without_workspaces(1), store, |_| {}).await;
     assert_eq!(statuses(&harness).await, [503; 6]);
