--- a/review/stand3/cases.rs
+++ b/review/stand3/cases.rs
@@ -3,18 +3,18 @@
 use crate::*;
 
 mod flood;
+mod limit;
 mod outage;
 mod poison;
 mod relist;
-mod revoked;
 
 pub fn run(name: &str) -> ! {
     match name {
         "flood" => flood::run(),
+        "limit" => limit::run(),
         "outage" => outage::run(),
         "poison" => poison::run(),
         "relist" => relist::run(),
-        "revoked" => revoked::run(),
         other => cannot_run(&format!("no case {other:?}")),
     }
 }
