--- a/review/stand3/backend.rs
+++ b/review/stand3/backend.rs
@@ -30,6 +30,7 @@
     pub reaches_store: AtomicBool,
     pub state: Mutex<&'static str>,
     pub is_up: AtomicBool,
+    is_listening: AtomicBool,
     pub running: AtomicU64,
     work: Work,
     streams: Mutex<Vec<TcpStream>>,
@@ -64,6 +65,7 @@
             reaches_store: AtomicBool::new(true),
             state: Mutex::new("ready"),
             is_up: AtomicBool::new(true),
+            is_listening: AtomicBool::new(true),
             running: AtomicU64::new(0),
             work,
             streams: Mutex::default(),
@@ -95,6 +97,8 @@
                     http::serve_connection(stream, &handler);
                 });
             }
+            drop(listener);
+            self.is_listening.store(false, Ordering::SeqCst);
         });
     }
 
@@ -169,20 +173,20 @@
         });
     }
 
-    /// Crashes: the port and all channels close.
-    pub fn crash(self: &Arc<Self>) {
+    /// Crashes: the port and all channels close. Returns whether it was up before.
+    pub fn crash(&self) -> bool {
         if !self.is_up.swap(false, Ordering::SeqCst) {
-            return;
+            return false;
         }
         note(&format!("server {} crashes", self.name));
-        let server = Arc::clone(self);
-        std::thread::spawn(move || {
-            // The listener closes before the channels do, as when a process ends.
-            std::thread::sleep(Duration::from_millis(5));
-            for stream in server.streams.lock().unwrap().drain(..) {
-                let _ = stream.shutdown(std::net::Shutdown::Both);
-            }
-        });
+        // The listener closes before the channels do, as when a process ends.
+        while self.is_listening.load(Ordering::SeqCst) {
+            std::thread::sleep(Duration::from_micros(200));
+        }
+        for stream in self.streams.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        }
+        true
     }
 
     /// Starts again at the same address.
@@ -194,6 +198,7 @@
             }
         };
         self.born.store(unix_ms(), Ordering::SeqCst);
+        self.is_listening.store(true, Ordering::SeqCst);
         self.is_up.store(true, Ordering::SeqCst);
         note(&format!("server {} is back", self.name));
         self.clone().accept(listener);
--- a/review/stand3/cases/poison.rs
+++ b/review/stand3/cases/poison.rs
@@ -38,9 +38,7 @@
                 drop(fleet);
                 note(&format!("server {} gets {id} with the part", server.name));
                 std::thread::sleep(Duration::from_millis(60));
-                if server.is_up.load(Ordering::SeqCst) {
-                    crash(server, &id);
-                }
+                crash(server, &id);
                 return false;
             }
             std::thread::sleep(Duration::from_millis(80));
@@ -78,7 +76,7 @@
     let load = Load::start(&world, plan(30.0, "a1", false));
     std::thread::sleep(Duration::from_secs(4));
     note("requests with the part begin");
-    let bad = Load::start(&world, plan(8.0, "b1", true));
+    let bad = Load::start(&world, plan(40.0, "b1", true));
     let fifth = loop {
         if let Some(at) = CRASHES.lock().unwrap().get(4) {
             break *at;
@@ -106,7 +104,7 @@
     let from = started.iter().max().unwrap().max(&(fifth + CONTACT)).to_owned() + CONTACT + Duration::from_millis(300);
     std::thread::sleep(from.saturating_duration_since(Instant::now()));
     note("requests with the part come again");
-    let again = Load::start(&world, plan(6.0, "c1", true));
+    let again = Load::start(&world, plan(20.0, "c1", true));
     std::thread::sleep(Duration::from_secs(9));
     let again = again.stop();
     std::thread::sleep(Duration::from_secs(2));
@@ -131,8 +129,10 @@
 
 /// Crashes a server that has begun to write an answer, and starts it again later.
 fn crash(server: &Arc<Backend>, id: &str) {
-    note(&format!("{id} crashes server {}", server.name));
-    server.crash();
+    if !server.crash() {
+        return;
+    }
+    note(&format!("{id} has crashed server {}", server.name));
     CRASHES.lock().unwrap().push(Instant::now());
     let server = Arc::clone(server);
     std::thread::spawn(move || {
