Review: drop the case on a server that has left, keep Server-Limit

In review/14 as it was, the server that had left didn't say Server-Leaving in its answers, as the news asks.

--- a/review/stand3/cases.rs
+++ b/review/stand3/cases.rs
@@ -1,9 +1,8 @@
-//! The cases 11 to 15, and plays of what was seen beyond them (`heads`, `limit`).
+//! The cases 11 to 15, and a play of what was seen beyond them (`heads`).
 
 use crate::*;
 
 mod flood;
-mod gone;
 mod heads;
 mod limit;
 mod outage;
@@ -13,7 +12,6 @@
 pub fn run(name: &str) -> ! {
     match name {
         "flood" => flood::run(),
-        "gone" => gone::run(),
         "heads" => heads::run(),
         "limit" => limit::run(),
         "outage" => outage::run(),
--- a/review/stand3/store.rs
+++ b/review/stand3/store.rs
@@ -108,7 +108,6 @@
 }
 
 pub const SILENT: u8 = 1;
-pub const BUSY: u8 = 2;
 pub const RESET: u8 = 3;
 
 impl Store {
@@ -154,20 +153,6 @@
         data.objects.keys().filter(|k| k.0 == kind).count()
     }
 
-    /// Returns a copy, for a drill.
-    pub fn copy(&self) -> Data {
-        self.data.lock().unwrap().clone()
-    }
-
-    /// Comes back from a copy, in the next era.
-    pub fn restore(&self, copy: Data) {
-        let mut data = self.data.lock().unwrap();
-        *self.era.lock().unwrap() += 1;
-        *data = copy;
-        drop(data);
-        self.changed.notify_all();
-    }
-
     /// Serves the store and the cloud to one machine and returns the address.
     pub fn listen(self: &Arc<Self>, ip: &str, node: usize) -> SocketAddr {
         let store = Arc::clone(self);
